--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and slopes."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,161 @@
+"""Shows the whole path: two deployments, a job, requests, a drain, a summary."""
+
+import json
+import random
+import shutil
+import sys
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import httpx
+from standins.fleet import Fleet, Running
+
+HERE = Path(__file__).parent
+TASKS = 460
+REQUESTS = 40
+
+
+class Tally:
+    """Answers checked against the nonces that were sent."""
+
+    def __init__(self) -> None:
+        self.tasks = 0
+        self.answered = 0
+        self.wrong = 0
+
+    def check(self, sent: str, body: dict[str, Any]) -> None:
+        """Count one answer."""
+        self.answered += 1
+        self.wrong += body.get("nonce") != sent
+
+
+def submit_job(base: str, service: str, kind: str, tally: Tally) -> float:
+    """Submit a job of 460 tasks and check every answer."""
+    chance = random.Random(460)
+    tasks = [
+        {
+            "id": f"t{number}",
+            "class": kind,
+            "payload": {"run_ms": chance.randint(50, 1000), "nonce": f"n{number}"},
+        }
+        for number in range(TASKS)
+    ]
+    tally.tasks += TASKS
+    began = time.monotonic()
+    url = f"{base}/v1/services/{service}/jobs"
+    answer = httpx.post(url, json={"tasks": tasks}, timeout=60)
+    if answer.is_success:
+        for number, row in enumerate(answer.json()["answers"]):
+            tally.check(f"n{number}", row["body"])
+    else:
+        print("  job failed:", answer.text)
+    return time.monotonic() - began
+
+
+def submit_requests(base: str, service: str, kind: str, tally: Tally) -> float:
+    """Submit single, non-idempotent requests one after the other."""
+    took = []
+    with httpx.Client(base_url=base, timeout=60) as client:
+        for number in range(REQUESTS):
+            nonce = f"{service}-{number}"
+            body = {"class": kind, "payload": {"run_ms": 60, "nonce": nonce}}
+            headers = {"Idempotency-Key": nonce}
+            tally.tasks += 1
+            began = time.monotonic()
+            path = f"/v1/services/{service}/requests"
+            answer = client.post(path, json=body, headers=headers)
+            took.append(time.monotonic() - began)
+            if answer.is_success:
+                tally.check(nonce, answer.json())
+            else:
+                print("  request failed:", answer.text)
+    return sorted(took)[len(took) // 2]
+
+
+def run_deployment(fleet: Fleet, service: str, kind: str, tally: Tally) -> None:
+    """Submit requests beside a job and print what came back."""
+    base = f"http://127.0.0.1:{fleet.balancer_http}"
+    times: list[float] = []
+    job_kind = {"desk": "size-change", "sheets": "history"}[service]
+
+    def work() -> None:
+        times.append(submit_job(base, service, job_kind, tally))
+
+    thread = threading.Thread(target=work)
+    thread.start()
+    median = submit_requests(base, service, kind, tally)
+    thread.join()
+    print(
+        f"  {service}: {REQUESTS} single requests, median {median * 1000:.0f} ms;"
+        f" a job of {TASKS} tasks in {times[0]:.1f} s"
+    )
+
+
+def count_twice(fleet: Fleet, endpoints: list[Running]) -> int:
+    """Count tasks and idempotency keys that started more than once."""
+    tasks: Counter[str] = Counter()
+    keys: Counter[str] = Counter()
+    for endpoint in endpoints:
+        written = fleet.record(endpoint)
+        tasks.update(written["tasks"])
+        keys.update(written["keys"])
+    return sum(count > 1 for counts in (tasks, keys) for count in counts.values())
+
+
+def main() -> int:
+    """Run the demonstration."""
+    folder = Path("run/demo")
+    shutil.rmtree(folder, ignore_errors=True)
+    fleet = Fleet(folder)
+    tally = Tally()
+    try:
+        print("starting: platform, two entries, three agents a service, endpoints")
+        for zone in ("a", "b"):
+            fleet.start_entry(zone, wait=False)
+        fleet.balance()
+        for entry in fleet.entries:
+            fleet.await_ready(entry)
+        for service in ("desk", "sheets"):
+            applied = fleet.operate("apply", str(HERE / f"{service}.toml"))
+            print(" ", (applied.stdout or applied.stderr).strip())
+            for zone in ("a", "b", "c"):
+                agent = fleet.start_agent(zone)
+                fleet.start_endpoint(agent, service)
+        fleet.await_agents(3, "desk")
+        fleet.await_agents(3, "sheets")
+        waited = fleet.operate("wait", "--service=sheets", "--revision=2")
+        print(" ", waited.stdout.strip())
+        print("working, while agent-1 is drained")
+        drains: list[str] = []
+
+        def drain() -> None:
+            time.sleep(1.0)
+            drains.append(fleet.operate("drain", "agent-1").stdout.strip())
+
+        drainer = threading.Thread(target=drain)
+        drainer.start()
+        run_deployment(fleet, "desk", "renewal", tally)
+        run_deployment(fleet, "sheets", "sign-off", tally)
+        drainer.join()
+        print(" ", drains[0])
+        print(fleet.operate("status").stdout.rstrip())
+        twice = count_twice(fleet, fleet.endpoints)
+        print("stopping gracefully")
+    finally:
+        fleet.stop()
+    summary = {
+        "tasks": tally.tasks,
+        "answered": tally.answered,
+        "wrong": tally.wrong,
+        "unanswered": tally.tasks - tally.answered,
+        "started_twice": twice,
+    }
+    print(json.dumps(summary))
+    return 0 if tally.answered == tally.tasks and not tally.wrong + twice else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/godwitbank/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation of godwitbank."""
--- /dev/null
+++ b/src/godwitbank/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The frame of the command line."""
--- /dev/null
+++ b/src/godwitbank/_internal/cli/entrypoints.py
@@ -0,0 +1,89 @@
+"""Entry points of the three programs."""
+
+import asyncio
+
+from absl import flags
+
+from godwitbank._internal.cli.program import Program
+from godwitbank._internal.cli.statuses import Status
+from godwitbank._internal.exceptions import UsageError
+
+
+def run_operator() -> None:
+    """Run ``godwitbank``."""
+    from godwitbank._internal.commands import describe_commands, find_command
+
+    program = Program(
+        "godwitbank",
+        "check, apply and watch service documents; submit work",
+        "godwitbank COMMAND [ARGUMENT...] [--flag=value...]\n\ncommands:\n"
+        + describe_commands(),
+    )
+    program.define_string("entry", "127.0.0.1:8080", "host:port of any entry.")
+    program.define_string("operator", "operator", "Your name, kept with changes.")
+    program.define_string("operation", None, "Id of an earlier apply to settle.")
+    program.define_string("revision", None, "Revision expected or waited for.")
+    program.define_string("service", None, "Name of a service.")
+    program.define_string("class", None, "Class of work of a single request.")
+    program.define_string("request_id", "", "Idempotency key of a single request.")
+    program.define_float("timeout", 30.0, "Seconds to wait for an answer.")
+    program.define_bool("json", False, "Print JSON instead of text.")
+
+    def main(values: flags.FlagValues, arguments: list[str]) -> Status:
+        if not arguments:
+            print(program.render_help())
+            return Status.USAGE
+        command = find_command(arguments[0])
+        return command.run(values, arguments[1:])
+
+    program.run(main)
+
+
+def run_entry() -> None:
+    """Run ``godwitbank-entry``."""
+    program = Program(
+        "godwitbank-entry",
+        "accept jobs and requests, and dispatch them to agents",
+        "godwitbank-entry --settings=FILE",
+    )
+    program.define_string("settings", None, "TOML file of settings.")
+
+    def main(values: flags.FlagValues, arguments: list[str]) -> Status:
+        from godwitbank._internal.models.settings import EntrySettings, load_settings
+        from godwitbank._internal.operations.entry import EntryProcess
+
+        path = _require_settings(values, arguments)
+        asyncio.run(EntryProcess(load_settings(path, EntrySettings)).run())
+        return Status.SUCCESS
+
+    program.run(main)
+
+
+def run_agent() -> None:
+    """Run ``godwitbank-agent``."""
+    program = Program(
+        "godwitbank-agent",
+        "stand beside one endpoint and start its tasks, each at most once",
+        "godwitbank-agent --settings=FILE",
+    )
+    program.define_string("settings", None, "TOML file of settings.")
+
+    def main(values: flags.FlagValues, arguments: list[str]) -> Status:
+        from godwitbank._internal.models.settings import AgentSettings, load_settings
+        from godwitbank._internal.operations.agent import AgentProcess
+
+        path = _require_settings(values, arguments)
+        asyncio.run(AgentProcess(load_settings(path, AgentSettings)).run())
+        return Status.SUCCESS
+
+    program.run(main)
+
+
+def _require_settings(values: flags.FlagValues, arguments: list[str]) -> str:
+    if arguments or not values.settings:
+        raise UsageError(
+            "--settings is missing" if not values.settings else "too many arguments",
+            remedy="give --settings=FILE and nothing else; see --help",
+        )
+    path: str = values.settings
+    return path
--- /dev/null
+++ b/src/godwitbank/_internal/commands/apply.py
@@ -0,0 +1,31 @@
+"""``godwitbank apply FILE``."""
+
+import uuid
+
+from absl import flags
+
+from godwitbank._internal.cli.statuses import Status
+from godwitbank._internal.commands.client import (
+    call,
+    expect_success,
+    read_document,
+    require_one,
+)
+
+
+class ApplyCommand:
+    """Put a document in force through any entry."""
+
+    summary = "put a document in force through any entry"
+
+    def run(self, values: flags.FlagValues, arguments: list[str]) -> Status:
+        """Check the file, then have it accepted."""
+        text, document = read_document(require_one(arguments, "document"))
+        operation = values.operation or uuid.uuid4().hex
+        headers = {"Operation-Id": operation, "Operator": values.operator}
+        if values.revision:
+            headers["If-Match"] = values.revision
+        path = f"/v1/services/{document.name}/document"
+        accepted = expect_success(call(values, "PUT", path, headers, text))
+        print(f"service {document.name}: accepted as revision {accepted['revision']}")
+        return Status.SUCCESS
--- /dev/null
+++ b/src/godwitbank/_internal/commands/check.py
@@ -0,0 +1,21 @@
+"""``godwitbank check FILE``."""
+
+from absl import flags
+
+from godwitbank._internal.cli.statuses import Status
+from godwitbank._internal.commands.client import read_document, require_one
+
+
+class CheckCommand:
+    """Check a document offline."""
+
+    summary = "check a document offline"
+
+    def run(self, values: flags.FlagValues, arguments: list[str]) -> Status:
+        """Check the file named."""
+        del values
+        path = require_one(arguments, "document")
+        _, document = read_document(path)
+        classes = ", ".join(document.classes)
+        print(f"{path}: right; service {document.name}, classes {classes}")
+        return Status.SUCCESS
--- /dev/null
+++ b/src/godwitbank/_internal/commands/wait.py
@@ -0,0 +1,56 @@
+"""``godwitbank wait --service=S --revision=N``."""
+
+import time
+from typing import Any
+
+from absl import flags
+
+from godwitbank._internal.cli.statuses import Status
+from godwitbank._internal.commands.client import (
+    call,
+    end_progress,
+    expect_success,
+    show_progress,
+)
+from godwitbank._internal.exceptions import UsageError
+
+POLL_SECONDS = 0.2
+
+
+def list_behind(state: dict[str, Any], service: str, revision: int) -> list[str]:
+    """List the processes that don't hold a revision yet."""
+    behind = []
+    if state["revisions"].get(service, 0) < revision:
+        behind.append(state["entry"])
+    for row in state["entries"] + state["agents"]:
+        if not row["connected"] or row["revisions"].get(service, 0) < revision:
+            behind.append(row.get("entry") or row.get("agent") or row["address"])
+    return behind
+
+
+class WaitCommand:
+    """Wait until a revision is in force in every process."""
+
+    summary = "wait until a revision is in force in every process"
+
+    def run(self, values: flags.FlagValues, arguments: list[str]) -> Status:
+        """Poll an entry until nobody is behind, or the timeout passes."""
+        del arguments
+        if not values.service or not values.revision:
+            raise UsageError("--service and --revision are needed", remedy="see --help")
+        revision = int(values.revision)
+        began = time.monotonic()
+        while True:
+            state = expect_success(call(values, "GET", "/v1/status"))
+            behind = list_behind(state, values.service, revision)
+            if not behind:
+                end_progress()
+                seconds = time.monotonic() - began
+                print(f"revision {revision} is in force everywhere ({seconds:.1f} s)")
+                return Status.SUCCESS
+            if time.monotonic() - began > values.timeout:
+                end_progress()
+                print(f"revision {revision} is not in force in: {', '.join(behind)}")
+                return Status.TIMED_OUT
+            show_progress(f"waiting for {len(behind)} processes")
+            time.sleep(POLL_SECONDS)
--- /dev/null
+++ b/src/godwitbank/_internal/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without input or output."""
--- /dev/null
+++ b/src/godwitbank/_internal/core/agent.py
@@ -0,0 +1,594 @@
+"""The agent's decisions: the only place where a task starts."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from godwitbank._internal.core.catalog import Catalog
+from godwitbank._internal.core.counters import Counts
+from godwitbank._internal.core.events import (
+    Action,
+    CloseStream,
+    Drained,
+    EndpointAnnounced,
+    EndpointLeft,
+    Received,
+    RunEnded,
+    RunTask,
+    Send,
+    StopRequested,
+    StreamClosed,
+    StreamOpened,
+    Tick,
+)
+from godwitbank._internal.core.failure_rate import FailureRate
+from godwitbank._internal.core.grants import Grants
+from godwitbank._internal.core.memory import Memory, State
+from godwitbank._internal.models.messages import (
+    PROTOCOL_VERSION,
+    Cancel,
+    Document,
+    Drain,
+    Ending,
+    EndpointState,
+    Finished,
+    Goodbye,
+    Heartbeat,
+    Hello,
+    Load,
+    Message,
+    Peers,
+    Recall,
+    Recalled,
+    Refusal,
+    Refused,
+    Resolve,
+    Resolved,
+    Revisions,
+    Start,
+    Verdict,
+    Want,
+    Welcome,
+)
+from godwitbank._internal.models.tasks import TaskKey
+
+DEFAULT_PARKED = 1
+"""Starts that may wait for a slot while no document says otherwise."""
+
+SETTLE_SECONDS = 2.0
+"""Longest wait for acknowledgements once a leaving agent has nothing running."""
+
+
+class Identity(NamedTuple):
+    """Who a process is.
+
+    :param incarnation: random, new at each start of the process.
+    """
+
+    process: str
+    incarnation: str
+    address: str
+    zone: str
+
+
+class Timing(NamedTuple):
+    """Periods shared by both cores, in seconds."""
+
+    heartbeat: float = 0.5
+    silence: float = 2.0
+    start_window: float = 3.0
+
+
+class EntryStream:
+    """An entry's stream, as the agent sees it."""
+
+    __slots__ = ("stream", "hello", "heard_at", "unacknowledged", "digest")
+
+    def __init__(self, stream: int, hello: Hello, now: float) -> None:
+        self.stream = stream
+        self.hello = hello
+        self.heard_at = now
+        self.unacknowledged: deque[TaskKey] = deque()
+        self.digest = 0
+
+
+class Parked(NamedTuple):
+    """A start that waits for a slot."""
+
+    stream: int
+    start: Start
+
+
+class AgentCore:
+    """Decides for one agent; driven by events, answers with actions."""
+
+    def __init__(self, identity: Identity, timing: Timing, now: float) -> None:
+        self.identity = identity
+        self.timing = timing
+        self.counts = Counts()
+        self.catalog = Catalog()
+        self.memory = Memory()
+        self.service = ""
+        self.leaving = False
+        self.running: dict[TaskKey, Start] = {}
+        self._announced_slots = 0
+        self._lease_until = now
+        self._instance = ""
+        self._left_instance = ""
+        self._drain_asked = False
+        self._stopping = False
+        self._drained = False
+        self._idle_since: float | None = None
+        self._streams: dict[int, EntryStream] = {}
+        self._by_entry: dict[str, int] = {}
+        self._parked: deque[Parked] = deque()
+        self._grants = Grants()
+        self._failures = FailureRate()
+        self._next_heartbeat = now
+        self._out: list[Action] = []
+        self._now = now
+        self._handlers: dict[type, Callable] = {
+            StreamOpened: self._open,
+            StreamClosed: self._close,
+            Received: self._receive,
+            RunEnded: self._end_run,
+            EndpointAnnounced: self._announce,
+            EndpointLeft: self._leave,
+            StopRequested: self._stop,
+            Tick: self._tick,
+        }
+        self._receivers: dict[type, Callable] = {
+            Start: self._start,
+            Cancel: self._cancel,
+            Resolve: self._resolve,
+            Want: self._want,
+            Heartbeat: self._hear_heartbeat,
+            Document: self._install,
+            Revisions: self._compare,
+            Drain: self._drain,
+            Recall: self._recall,
+            Peers: self._ignore,
+            Goodbye: self._ignore,
+        }
+
+    def handle(self, event: object, now: float) -> list[Action]:
+        """Take one event and return what has to be done."""
+        self._now = now
+        self._out = []
+        self._handlers[type(event)](event)
+        return self._out
+
+    @property
+    def slots(self) -> int:
+        """Tasks that may run at once: the endpoint's word and the document's."""
+        held = self.catalog.find(self.service)
+        if held is None:
+            return self._announced_slots
+        return min(self._announced_slots, held.document.endpoint.slots)
+
+    @property
+    def next_wakeup(self) -> float:
+        """Time at which a ``Tick`` is next needed."""
+        return self._next_heartbeat
+
+    def list_entries(self) -> list[str]:
+        """List the stream addresses of the entries connected now."""
+        return sorted(each.hello.address for each in self._streams.values())
+
+    def describe(self) -> dict[str, object]:
+        """Describe this agent's state for a status page."""
+        return {
+            "agent": self.identity.process,
+            "service": self.service,
+            "slots": self.slots,
+            "running": len(self.running),
+            "parked": len(self._parked),
+            "leaving": self.leaving,
+            "remembered": len(self.memory),
+            "entries": self.list_entries(),
+            "revisions": self.catalog.list_revisions(),
+        }
+
+    # Streams
+
+    def _open(self, event: StreamOpened) -> None:
+        hello = event.greeting
+        if not isinstance(hello, Hello):
+            self._out.append(CloseStream(event.stream, "no hello"))
+            return
+        if hello.version != PROTOCOL_VERSION:
+            self.counts.add("streams_refused", "version")
+            self._out.append(CloseStream(event.stream, "unknown protocol version"))
+            return
+        self._streams[event.stream] = EntryStream(event.stream, hello, self._now)
+        self._by_entry[hello.incarnation] = event.stream
+        self._grants.add(event.stream)
+        self._send(
+            event.stream,
+            Welcome(
+                PROTOCOL_VERSION,
+                self.identity.process,
+                self.identity.incarnation,
+                self.identity.zone,
+                self._now,
+            ),
+        )
+        self._send(event.stream, self._describe_endpoint())
+        self._send(event.stream, self._make_heartbeat(event.stream))
+        self._send(event.stream, Revisions(self._list_held()))
+        self._send(event.stream, Peers(self.list_entries(), []))
+
+    def _close(self, event: StreamClosed) -> None:
+        entry = self._streams.pop(event.stream, None)
+        if entry is None:
+            return
+        self._grants.remove(event.stream)
+        if self._by_entry.get(entry.hello.incarnation) == event.stream:
+            del self._by_entry[entry.hello.incarnation]
+        self._drop_parked(event.stream)
+        self._tell_loads()
+
+    def _drop_parked(self, stream: int) -> None:
+        # An entry that died with starts waiting here has a caller who will
+        # submit again; letting the old ones start would run the work twice.
+        kept: deque[Parked] = deque()
+        for parked in self._parked:
+            if parked.stream == stream:
+                self._fence(parked.stream, parked.start)
+                self.counts.add("parked_dropped", "stream_closed")
+            else:
+                kept.append(parked)
+        self._parked = kept
+
+    def _fence(self, stream: int, start: Start) -> None:
+        entry = self._streams.get(stream)
+        incarnation = entry.hello.incarnation if entry else ""
+        self.memory.fence(start.key, start.start_by, incarnation)
+
+    def _receive(self, event: Received) -> None:
+        entry = self._streams.get(event.stream)
+        if entry is None:
+            return
+        entry.heard_at = self._now
+        receiver = self._receivers.get(type(event.message))
+        if receiver is None:
+            self.counts.add("streams_closed", "unexpected_message")
+            self._out.append(CloseStream(event.stream, "unexpected message"))
+            return
+        receiver(entry, event.message)
+
+    # Starts
+
+    def _start(self, entry: EntryStream, start: Start) -> None:
+        self._grants.use(entry.stream)
+        record = self.memory.find(start.key)
+        if record is not None and record.state is not State.FENCED:
+            self._answer_duplicate(entry, start, record.attempt)
+            return
+        if any(parked.start.key == start.key for parked in self._parked):
+            self.counts.add("starts_ignored", "duplicate")
+            return
+        if start.request_id and self.memory.has_request(start.request_id):
+            # The claim should have stopped this; as the last gate, don't run it.
+            self.counts.add("starts_ignored", "request_seen")
+            self._send(entry.stream, Resolved(start.key, Verdict.UNKNOWN))
+            return
+        refusal = self._find_refusal(start)
+        if refusal is not None:
+            self._refuse(entry.stream, start, refusal)
+        elif len(self.running) < self.slots and not self._parked:
+            self._run(entry.stream, start)
+        elif len(self._parked) < self._parked_limit():
+            self._parked.append(Parked(entry.stream, start))
+            self.counts.add("starts_parked")
+        else:
+            self._refuse(entry.stream, start, Refusal.BUSY)
+        self._tell_loads()
+
+    def _answer_duplicate(self, entry: EntryStream, start: Start, attempt: int) -> None:
+        self.counts.add("starts_ignored", "duplicate")
+        if attempt != start.key.attempt:
+            # Another attempt of a task that ran here: its entry is wrong about
+            # the task, so it must not hear "not started".
+            self._send(entry.stream, Resolved(start.key, Verdict.UNKNOWN))
+
+    def _find_refusal(self, start: Start) -> Refusal | None:
+        if start.incarnation != self.identity.incarnation:
+            return Refusal.WRONG_INCARNATION
+        if self.memory.is_fenced(start.key):
+            return Refusal.FENCED
+        if self._now > start.start_by:
+            # This process or its stream was frozen: the entry may long have
+            # told its caller something else.
+            return Refusal.STALE
+        if self.leaving:
+            return Refusal.LEAVING
+        if not self.service:
+            return Refusal.NO_ENDPOINT
+        if self._now > self._lease_until:
+            return Refusal.LAPSED
+        if start.service != self.service:
+            return Refusal.WRONG_SERVICE
+        return None
+
+    def _parked_limit(self) -> int:
+        held = self.catalog.find(self.service)
+        if held is None:
+            return DEFAULT_PARKED
+        policy = held.document.policy
+        limit = held.document.endpoint.parked
+        return limit if policy.message_weight > 0 else 0
+
+    def _refuse(self, stream: int, start: Start, reason: Refusal) -> None:
+        self.counts.add("starts_refused", reason)
+        self._fence(stream, start)
+        told = self._grants.tell(stream, self._count_free())
+        seen = self._grants.count_seen(stream)
+        self._send(stream, Refused(start.key, reason, told, seen))
+
+    def _run(self, stream: int, start: Start) -> None:
+        entry = self._streams.get(stream)
+        incarnation = entry.hello.incarnation if entry else ""
+        self.memory.start(
+            start.key, start.start_by, incarnation, start.request_id, self._now
+        )
+        self.running[start.key] = start
+        self.counts.add("starts")
+        self._out.append(
+            RunTask(
+                start.key,
+                start.class_name,
+                start.request_id,
+                start.payload,
+                start.timeout,
+            )
+        )
+
+    def _end_run(self, event: RunEnded) -> None:
+        start = self.running.pop(event.key, None)
+        if start is None:
+            return
+        self.counts.add("runs_ended", event.ending)
+        failed = event.ending != Ending.ANSWERED
+        self._failures.add(event.key.submission, failed, self._now)
+        record = self.memory.finish(event, start.request_id)
+        self._start_parked()
+        if record is not None:
+            self._report(record.entry, event)
+        self._tell_loads()
+        self._check_drained()
+
+    def _start_parked(self) -> None:
+        while self._parked and len(self.running) < self.slots:
+            parked = self._parked.popleft()
+            refusal = self._find_refusal(parked.start)
+            if refusal is None:
+                self._run(parked.stream, parked.start)
+            else:
+                self._refuse(parked.stream, parked.start, refusal)
+
+    def _report(self, incarnation: str, event: RunEnded) -> None:
+        stream = self._by_entry.get(incarnation)
+        if stream is None:
+            # Kept in memory; the entry asks for it on its next stream.
+            self.counts.add("answers_held", "no_stream")
+            return
+        entry = self._streams[stream]
+        entry.unacknowledged.append(event.key)
+        told = self._grants.tell(stream, self._count_free())
+        seen = self._grants.count_seen(stream)
+        self._send(
+            stream,
+            Finished(
+                event.key,
+                event.ending,
+                event.status,
+                event.content_type,
+                event.body,
+                event.run_time,
+                told,
+                seen,
+            ),
+        )
+
+    def _cancel(self, entry: EntryStream, cancel: Cancel) -> None:
+        for parked in self._parked:
+            if parked.start.key == cancel.key:
+                self._parked.remove(parked)
+                self._refuse(entry.stream, parked.start, Refusal.CANCELLED)
+                self._tell_loads()
+                return
+        self.counts.add("cancels_late")
+
+    def _resolve(self, entry: EntryStream, question: Resolve) -> None:
+        verdict = Verdict.UNKNOWN
+        if question.incarnation == self.identity.incarnation:
+            # A start that waits for a slot hasn't started: take it back, or it
+            # would run after the entry was told that it never will.
+            for parked in list(self._parked):
+                if parked.start.key == question.key:
+                    self._parked.remove(parked)
+                    self._tell_loads()
+            verdict = self.memory.resolve(
+                question.key, question.start_by, entry.hello.incarnation
+            )
+        self.counts.add("resolved", verdict)
+        self._send(entry.stream, Resolved(question.key, verdict))
+        if verdict is Verdict.FINISHED:
+            record = self.memory.find(question.key)
+            if record is not None and record.ending is not None:
+                self._report(entry.hello.incarnation, record.ending)
+
+    # Load
+
+    def _count_free(self) -> int:
+        if self.leaving or not self.service or self._now > self._lease_until:
+            return 0
+        return self.slots - len(self.running) - len(self._parked)
+
+    def _want(self, entry: EntryStream, want: Want) -> None:
+        rank = self._now + want.rank_in
+        self._grants.set_demand(entry.stream, want.waiting, rank)
+        self._tell_loads()
+
+    def _tell_loads(self) -> None:
+        for stream, allowed in self._grants.list_changes(self._count_free()):
+            seen = self._grants.count_seen(stream)
+            self.counts.add("loads_told")
+            self._send(stream, Load(allowed, seen))
+
+    # Endpoint
+
+    def _announce(self, event: EndpointAnnounced) -> None:
+        if self._left_instance == event.instance:
+            # A renewal that crossed the endpoint's own goodbye.
+            return
+        if self._left_instance:
+            self._left_instance = ""
+            self.leaving = self._drain_asked or self._stopping
+            self.service = ""
+        self._instance = event.instance
+        lapsed = self._now > self._lease_until
+        self._lease_until = self._now + event.lease
+        known = (self.service, self._announced_slots)
+        changed = lapsed or (event.service, event.slots) != known
+        self.service = event.service
+        self._announced_slots = event.slots
+        if changed:
+            self.counts.add("endpoint_announced")
+            self._tell_endpoint()
+        self._start_parked()
+        self._tell_loads()
+
+    def _leave(self, event: EndpointLeft) -> None:
+        del event
+        self._left_instance = self._instance
+        self._begin_leaving("endpoint")
+
+    def _drain(self, entry: EntryStream, drain: Drain) -> None:
+        del entry, drain
+        self._drain_asked = True
+        self._begin_leaving("operator")
+
+    def _stop(self, event: StopRequested) -> None:
+        del event
+        self._stopping = True
+        self._begin_leaving("stop")
+        self._check_drained()
+
+    def _begin_leaving(self, reason: str) -> None:
+        if self.leaving:
+            return
+        self.leaving = True
+        self.counts.add("leaving", reason)
+        self._tell_endpoint()
+        while self._parked:
+            parked = self._parked.popleft()
+            self._refuse(parked.stream, parked.start, Refusal.LEAVING)
+        self._tell_loads()
+
+    def _describe_endpoint(self) -> EndpointState:
+        service = self.service if self._now <= self._lease_until else ""
+        return EndpointState(service, self.slots, self.leaving)
+
+    def _tell_endpoint(self) -> None:
+        for stream in self._streams:
+            self._send(stream, self._describe_endpoint())
+
+    def _check_drained(self) -> None:
+        if not self._stopping or self.running or self._drained:
+            return
+        if self._idle_since is None:
+            self._idle_since = self._now
+        waiting = any(entry.unacknowledged for entry in self._streams.values())
+        if waiting and self._now - self._idle_since < SETTLE_SECONDS:
+            return
+        self._drained = True
+        for stream in self._streams:
+            self._send(stream, Goodbye("stopping"))
+        self._out.append(Drained())
+
+    # Configuration
+
+    def _list_held(self) -> list[list[str | int]]:
+        held = self.catalog.list_revisions().items()
+        return [[service, revision] for service, revision in held]
+
+    def _install(self, entry: EntryStream, document: Document) -> None:
+        del entry
+        if self.catalog.install(document.service, document.revision, document.text):
+            self.counts.add("documents_installed")
+            self._tell_endpoint()
+            for stream in self._streams:
+                self._send(stream, self._make_heartbeat(stream))
+            self._start_parked()
+            self._tell_loads()
+
+    def _compare(self, entry: EntryStream, revisions: Revisions) -> None:
+        theirs = {str(pair[0]): int(pair[1]) for pair in revisions.held}
+        for service, held in self.catalog.list_newer(theirs):
+            self._send(entry.stream, Document(service, held.revision, held.text))
+
+    # Heartbeats
+
+    def _make_heartbeat(self, stream: int) -> Heartbeat:
+        told = self._grants.tell(stream, self._count_free())
+        return Heartbeat(
+            self._now,
+            self.catalog.digest,
+            0,
+            self._failures.measure(self._now),
+            told,
+            self._grants.count_seen(stream),
+        )
+
+    def _hear_heartbeat(self, entry: EntryStream, heartbeat: Heartbeat) -> None:
+        done = heartbeat.acknowledged
+        while entry.unacknowledged and done > 0:
+            self.memory.acknowledge(entry.unacknowledged.popleft())
+            done -= 1
+        if heartbeat.digest != self.catalog.digest:
+            self._send(entry.stream, Revisions(self._list_held()))
+        self._check_drained()
+
+    def _recall(self, entry: EntryStream, recall: Recall) -> None:
+        verdict, ending = self.memory.recall(recall.request_id)
+        if ending is None:
+            ending = RunEnded(TaskKey("", 0, 0), "", 0, "", b"", 0.0)
+        self._send(
+            entry.stream,
+            Recalled(
+                recall.service,
+                recall.request_id,
+                verdict,
+                ending.ending,
+                ending.status,
+                ending.content_type,
+                ending.body,
+            ),
+        )
+
+    def _tick(self, event: Tick) -> None:
+        del event
+        if self.service and self._now > self._lease_until:
+            self.counts.add("endpoint_lapsed")
+            self.service = ""
+            self._tell_endpoint()
+            self._tell_loads()
+        for entry in list(self._streams.values()):
+            if self._now - entry.heard_at > self.timing.silence:
+                self.counts.add("streams_closed", "silence")
+                self._out.append(CloseStream(entry.stream, "silence"))
+                self._close(StreamClosed(entry.stream))
+        if self._now >= self._next_heartbeat:
+            self._next_heartbeat = self._now + self.timing.heartbeat
+            self.memory.expire(self._now)
+            for stream in self._streams:
+                self._send(stream, self._make_heartbeat(stream))
+        self._check_drained()
+
+    def _ignore(self, entry: EntryStream, message: Message) -> None:
+        del entry, message
+
+    def _send(self, stream: int, message: Message) -> None:
+        self._out.append(Send(stream, message))
--- /dev/null
+++ b/src/godwitbank/_internal/core/catalog.py
@@ -0,0 +1,65 @@
+"""Accepted service documents, of which only a higher revision replaces one."""
+
+from typing import NamedTuple
+from zlib import crc32
+
+from returns.result import Success
+
+from godwitbank._internal.models.document import ServiceDocument
+
+
+class Held(NamedTuple):
+    """A document in force in this process."""
+
+    revision: int
+    text: str
+    document: ServiceDocument
+
+
+class Catalog:
+    """Documents in force, by service."""
+
+    def __init__(self) -> None:
+        self._held: dict[str, Held] = {}
+        self.digest = 0
+
+    def install(self, service: str, revision: int, text: str) -> bool:
+        """Put a document in force unless one at least as new already is.
+
+        A read from a lagging replica, a paused process that wakes, or a stream
+        that repeats itself all offer old revisions; without this comparison an
+        accepted change would silently be undone.
+
+        :return: whether the document is now in force and was not before.
+        """
+        held = self._held.get(service)
+        if held is not None and held.revision >= revision:
+            return False
+        parsed = ServiceDocument.from_text(text)
+        if not isinstance(parsed, Success):
+            # Only checked documents are accepted, so this one was written by a
+            # newer version; keep the one that is understood.
+            return False
+        self._held[service] = Held(revision, text, parsed.unwrap())
+        self.digest = self._sum_up()
+        return True
+
+    def find(self, service: str) -> Held | None:
+        """Find the document in force for a service."""
+        return self._held.get(service)
+
+    def list_revisions(self) -> dict[str, int]:
+        """List the revision in force for each service."""
+        return {service: held.revision for service, held in self._held.items()}
+
+    def list_newer(self, than: dict[str, int]) -> list[tuple[str, Held]]:
+        """List what is newer here than in another process."""
+        return [
+            (service, held)
+            for service, held in self._held.items()
+            if held.revision > than.get(service, 0)
+        ]
+
+    def _sum_up(self) -> int:
+        pairs = sorted(self.list_revisions().items())
+        return crc32(repr(pairs).encode())
--- /dev/null
+++ b/src/godwitbank/_internal/core/dispatch.py
@@ -0,0 +1,512 @@
+"""From submission to answer: admission, starts, answers, failures."""
+
+import heapq
+from collections.abc import Callable
+from random import Random
+
+from godwitbank._internal.core import ejection
+from godwitbank._internal.core.agent import Timing
+from godwitbank._internal.core.catalog import Catalog
+from godwitbank._internal.core.claims import Claims
+from godwitbank._internal.core.counters import Counts
+from godwitbank._internal.core.events import (
+    Action,
+    ClaimsFailed,
+    ClaimsWritten,
+    ReleaseClaims,
+    Reply,
+    Send,
+    WriteClaims,
+)
+from godwitbank._internal.core.pool import AgentView, Sent
+from godwitbank._internal.core.recalls import Recalls
+from godwitbank._internal.core.service import Service
+from godwitbank._internal.core.work import Job, Task, TaskState
+from godwitbank._internal.models.messages import (
+    Cancel,
+    Ending,
+    Finished,
+    Recall,
+    Recalled,
+    Refusal,
+    Refused,
+    Resolved,
+    Start,
+    Verdict,
+    Want,
+)
+from godwitbank._internal.models.outcomes import (
+    Complete,
+    Failed,
+    Ran,
+    Reason,
+    TaskAnswer,
+)
+from godwitbank._internal.models.tasks import Submission
+
+DESERTED_SECONDS = 3.0
+"""Seconds without any usable agent after which waiting work is given up."""
+
+WANT_CHANGE = 0.5
+"""Share by which waiting work must change before agents are told again."""
+
+COME_BACK = 1.0
+"""Seconds after which a caller may ask again when nothing better is known."""
+
+_ENDINGS = {
+    Ending.ENDPOINT_FAILED: Reason.ENDPOINT_FAILED,
+    Ending.TIMED_OUT: Reason.TASK_TIMEOUT,
+}
+
+
+class Dispatcher:
+    """Jobs in flight at one entry and the agents they run on."""
+
+    def __init__(
+        self, catalog: Catalog, counts: Counts, timing: Timing, rng: Random, zone: str
+    ) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.services: dict[str, Service] = {}
+        self.claims = Claims()
+        self._recalls = Recalls()
+        self._catalog = catalog
+        self._counts = counts
+        self._timing = timing
+        self._rng = rng
+        self._zone = zone
+        self._deadlines: list[tuple[float, str]] = []
+        self._out: Callable[[Action], None] = lambda action: None
+        self._now = 0.0
+
+    def begin(self, now: float, out: Callable[[Action], None]) -> None:
+        """Set the time and the sink of actions for the event being handled."""
+        self._now = now
+        self._out = out
+
+    @property
+    def next_wakeup(self) -> float:
+        """Time of the next deadline or retry."""
+        times = [self._deadlines[0][0]] if self._deadlines else []
+        if self.claims.next_retry:
+            times.append(self.claims.next_retry)
+        return min(times, default=float("inf"))
+
+    def configure(self, name: str) -> None:
+        """Put the catalog's document of a service in force."""
+        held = self._catalog.find(name)
+        if held is None:
+            return
+        service = self.services.get(name)
+        if service is None:
+            window = self._timing.start_window
+            self.services[name] = Service(
+                held, self._rng, self._zone, window, self._now
+            )
+        else:
+            service.configure(held)
+
+    # Submissions
+
+    def submit(self, submission: Submission) -> None:
+        """Admit a submission or refuse it at once."""
+        service = self.services.get(submission.service)
+        if service is None:
+            detail = f"no document for service {submission.service!r}"
+            self._refuse(submission.submission, Reason.UNKNOWN_SERVICE, detail, None)
+            return
+        refusal = service.check(submission, self._now)
+        if refusal is not None:
+            self._refuse(submission.submission, *refusal)
+            return
+        if self._needs_claim(service, submission) and self.claims.failing:
+            detail = "request ids can't be claimed while the table is down"
+            self._refuse(
+                submission.submission, Reason.STORE_UNAVAILABLE, detail, COME_BACK
+            )
+            return
+        job = Job(submission, self._now, service.rank(submission, self._now))
+        self.jobs[job.submission] = job
+        heapq.heappush(self._deadlines, (job.deadline, job.submission))
+        self._counts.add("submissions")
+        for task in job.tasks:
+            self._enter(service, task)
+        self._write_claims()
+        self.dispatch(service)
+
+    def _refuse(
+        self, submission: str, reason: Reason, detail: str, retry_after: float | None
+    ) -> None:
+        self._counts.add("submissions_refused", reason)
+        self._out(Reply(Failed(submission, reason, Ran.NOT_RUN, detail, retry_after)))
+
+    @staticmethod
+    def _needs_claim(service: Service, submission: Submission) -> bool:
+        classes = service.document.classes
+        return any(not classes[task.class_name].idempotent for task in submission.tasks)
+
+    def _enter(self, service: Service, task: Task) -> None:
+        table = service.document.classes[task.spec.class_name]
+        if table.idempotent:
+            service.queue.add(task)
+            return
+        key = make_claim_key(task.job.service, task.spec.request_id)
+        if self.claims.find_holder(key) is not None:
+            self._recall(task)
+            return
+        task.state = TaskState.CLAIMING
+        task.claim = f"{task.job.submission}:{task.index}"
+        self.claims.ask(key, task.claim, self._now)
+
+    # Claims
+
+    def _write_claims(self) -> None:
+        batch = self.claims.next_batch(self._now)
+        if batch is not None:
+            self._counts.add("claim_writes")
+            self._out(WriteClaims(*batch))
+
+    def settle_claims(self, event: ClaimsWritten) -> None:
+        """Queue the tasks whose claim was won; ask about the others."""
+        for token, won in self.claims.settle(event.batch, event.lost).items():
+            submission, _, index = token.rpartition(":")
+            job = self.jobs.get(submission)
+            task = job.tasks[int(index)] if job else None
+            if task is None or task.state is not TaskState.CLAIMING:
+                self._release_late(event, token, won)
+                continue
+            service = self.services[task.job.service]
+            if won:
+                task.state = TaskState.WAITING
+                service.queue.add(task)
+                self.dispatch(service)
+            else:
+                task.claim = ""
+                self._recall(task)
+        self._write_claims()
+
+    def _release_late(self, event: ClaimsWritten, token: str, won: bool) -> None:
+        # The write took effect after its task had been given up as not run;
+        # without this the request id could never be used again.
+        if won and token in event.written:
+            self._out(ReleaseClaims({event.written[token]: token}))
+
+    def fail_claims(self, event: ClaimsFailed) -> None:
+        """Give up what waits for a table that doesn't answer."""
+        self._counts.add("claim_writes_failed")
+        self.claims.fail(event.batch, self._now)
+        if not self.claims.failing:
+            return
+        for job in list(self.jobs.values()):
+            if any(task.state is TaskState.CLAIMING for task in job.tasks):
+                detail = "request ids can't be claimed while the table is down"
+                self._fail(job, Reason.STORE_UNAVAILABLE, detail, COME_BACK)
+
+    def _recall(self, task: Task) -> None:
+        task.state = TaskState.RECALLING
+        self._counts.add("recalls")
+        service = self.services[task.job.service]
+        streams = [view.stream for view in service.pool.views if view.stream]
+        key = make_claim_key(task.job.service, task.spec.request_id)
+        deadline = self._recalls.ask(key, task, len(streams), self._now)
+        heapq.heappush(self._deadlines, (deadline, task.job.submission))
+        for stream in streams:
+            self._out(Send(stream, Recall(task.job.service, task.spec.request_id)))
+        if not streams:
+            self._give_up_recall(task, running=False)
+
+    def hear_recalled(self, recalled: Recalled) -> None:
+        """Use an agent's memory of a request that was claimed before."""
+        key = make_claim_key(recalled.service, recalled.request_id)
+        for task, running, settled in self._recalls.hear(key, recalled.verdict):
+            if task.state is not TaskState.RECALLING:
+                continue
+            if recalled.verdict == Verdict.FINISHED:
+                self._counts.add("answers_replayed")
+                self._end(task, recalled)
+            elif settled:
+                self._give_up_recall(task, running)
+
+    def _give_up_recall(self, task: Task, running: bool) -> None:
+        detail = f"request id {task.spec.request_id!r} was submitted before"
+        detail += " and is still running" if running else ""
+        after = COME_BACK if running else None
+        self._fail(task.job, Reason.DUPLICATE_REQUEST, detail, after, task, True)
+
+    # Starts
+
+    def dispatch_all(self) -> None:
+        """Send what can be sent, for every service."""
+        for service in self.services.values():
+            self.dispatch(service)
+
+    def dispatch(self, service: Service) -> None:
+        """Send waiting tasks while agents have free slots."""
+        queue = service.queue
+        same_zone = service.document.policy.same_zone
+        while queue.waiting:
+            view = service.pool.choose(self._now, same_zone)
+            if view is None:
+                break
+            task = queue.pop()
+            if task is None:
+                break
+            self._start(service, task, view)
+        self._tell_wants(service)
+
+    def _start(self, service: Service, task: Task, view: AgentView) -> None:
+        table = service.document.classes[task.spec.class_name]
+        left = task.job.deadline - self._now
+        timeout = min(table.timeout_seconds, max(left, 0.001))
+        key = task.begin_attempt()
+        start_by = view.clock + self._timing.start_window
+        view.outstanding[key] = Sent(task, start_by, self._now, view.incarnation)
+        view.note_sent()
+        task.job.started += 1
+        self._counts.add("starts_sent")
+        request_id = ""
+        if not table.idempotent:
+            request_id = make_claim_key(task.job.service, task.spec.request_id)
+        self._out(
+            Send(
+                view.stream or 0,
+                Start(
+                    key,
+                    view.incarnation,
+                    task.job.service,
+                    task.spec.class_name,
+                    request_id,
+                    start_by,
+                    timeout,
+                    task.spec.payload,
+                ),
+            )
+        )
+
+    def _tell_wants(self, service: Service) -> None:
+        waiting = service.queue.waiting
+        rank = service.queue.find_rank() if waiting else None
+        rank_in = (rank - self._now) if rank is not None else 0.0
+        for view in service.pool.views:
+            if view.stream is None:
+                continue
+            told = view.wanted.waiting if view.wanted else 0
+            if not waiting and not told:
+                continue
+            stale = bool(waiting) != bool(told)
+            stale = stale or abs(waiting - told) > WANT_CHANGE * max(told, 1)
+            if stale:
+                view.wanted = Want(waiting, rank_in)
+                self._counts.add("wants_sent")
+                self._out(Send(view.stream, view.wanted))
+
+    # Answers
+
+    def _take_sent(self, view: AgentView, message: Finished | Refused) -> Sent | None:
+        view.report(message.free, message.seen)
+        return view.outstanding.pop(message.key, None)
+
+    def hear_finished(self, view: AgentView, message: Finished) -> None:
+        """Join an answer to its job."""
+        view.acknowledged += 1
+        sent = self._take_sent(view, message)
+        service = self.services.get(view.service)
+        if sent is None:
+            # Repeated, or of a task already given up: never joined to anything.
+            self._counts.add("answers_dropped", "unknown")
+        elif sent.task.key != message.key or sent.task.state is not TaskState.SENT:
+            self._counts.add("answers_dropped", "late")
+        else:
+            self._judge(view, sent, message)
+            self._end(sent.task, message)
+        if service is not None:
+            self.dispatch(service)
+
+    def _judge(self, view: AgentView, sent: Sent, message: Finished) -> None:
+        service = self.services[sent.task.job.service]
+        failed = message.ending != Ending.ANSWERED
+        class_name = sent.task.spec.class_name
+        mean = service.statistics[class_name].mean
+        view.failures.add(message.key.submission, failed, self._now)
+        if not failed:
+            view.observe_run(message.run_time, mean)
+            service.observe(class_name, message.run_time)
+        if view.probing and self._now >= view.ejected_until:
+            if failed or message.run_time > mean * SLOW_PROBE:
+                ejection.eject(view, self._now)
+            else:
+                ejection.reinstate(view)
+                self._counts.add("reinstated")
+            return
+        self.judge(view, service)
+
+    def judge(self, view: AgentView, service: Service) -> None:
+        """Eject an agent that stands out from its peers."""
+        reason = ejection.find_reason(view, service.pool, self._now)
+        if reason is not None:
+            self._counts.add("ejected", reason)
+            ejection.eject(view, self._now)
+
+    def _end(self, task: Task, message: Finished | Recalled) -> None:
+        job = task.job
+        if message.ending != Ending.ANSWERED:
+            reason = _ENDINGS.get(Ending(message.ending), Reason.ENDPOINT_FAILED)
+            detail = message.body.decode(errors="replace")[:200]
+            self._fail(job, reason, detail, None, task, True)
+            return
+        answer = TaskAnswer(message.status, message.content_type, message.body)
+        if job.answer(task, answer):
+            answers = tuple(each for each in job.answers if each is not None)
+            del self.jobs[job.submission]
+            self._counts.add("submissions_completed")
+            self._out(Reply(Complete(job.submission, answers)))
+
+    def hear_refused(self, view: AgentView, message: Refused) -> None:
+        """Queue a task again that its agent did not start."""
+        sent = self._take_sent(view, message)
+        self._counts.add("starts_returned", message.reason)
+        if sent is None or sent.task.key != message.key:
+            return
+        if message.reason in (Refusal.LEAVING, Refusal.LAPSED, Refusal.NO_ENDPOINT):
+            # Its own state message may still be on its way.
+            view.leaving = True
+        self._requeue(sent.task)
+
+    def _requeue(self, task: Task) -> None:
+        if task.state is not TaskState.SENT:
+            return
+        job = task.job
+        job.started -= 1
+        task.refusals += 1
+        service = self.services[job.service]
+        task.state = TaskState.WAITING
+        service.queue.add(task, front=True)
+        if task.refusals > service.document.classes[task.spec.class_name].retries:
+            detail = f"agents refused the task {task.refusals} times"
+            self._fail(job, Reason.RETRIES_EXHAUSTED, detail, COME_BACK, task)
+            return
+        self.dispatch(service)
+
+    def hear_resolved(self, view: AgentView, message: Resolved) -> None:
+        """Act on what an agent says of a start that was in doubt."""
+        self._counts.add("resolved", message.verdict)
+        if message.verdict in (Verdict.RUNNING, Verdict.FINISHED):
+            return
+        sent = view.outstanding.pop(message.key, None)
+        if sent is None or sent.task.key != message.key:
+            return
+        if message.verdict == Verdict.FENCED:
+            self._requeue(sent.task)
+        else:
+            self.lose(sent, "the agent no longer knows the task")
+
+    def lose(self, sent: Sent, detail: str) -> None:
+        """Give up a task whose outcome can't be learnt."""
+        if sent.task.state is TaskState.SENT:
+            self._counts.add("tasks_lost")
+            self._fail(sent.task.job, Reason.OUTCOME_UNKNOWN, detail, None, sent.task)
+
+    # Failures
+
+    def _fail(
+        self,
+        job: Job,
+        reason: Reason,
+        detail: str,
+        retry_after: float | None,
+        task: Task | None = None,
+        has_run: bool = False,
+    ) -> None:
+        if self.jobs.pop(job.submission, None) is None:
+            return
+        service = self.services[job.service]
+        service.drop_waiting(job.tasks)
+        ran = Ran.MAY_HAVE_RUN if job.started or has_run else Ran.NOT_RUN
+        ran = Ran.MAY_HAVE_RUN if job.unanswered < len(job.tasks) else ran
+        self._counts.add("submissions_failed", reason)
+        self._release(job)
+        index = task.index if task else None
+        failed = Failed(job.submission, reason, ran, detail, retry_after, index)
+        self._out(Reply(failed))
+        self._cancel_sent(service, job)
+        self._tell_wants(service)
+
+    def _release(self, job: Job) -> None:
+        claims = {}
+        for task in job.tasks:
+            unstarted = task.state in (TaskState.DROPPED, TaskState.CLAIMING)
+            if task.claim and unstarted:
+                key = make_claim_key(job.service, task.spec.request_id)
+                claims[key] = task.claim
+                self.claims.abandon(key, task.claim)
+                task.state = TaskState.DROPPED
+        if claims:
+            self._counts.add("claims_released", amount=len(claims))
+            self._out(ReleaseClaims(claims))
+
+    def _cancel_sent(self, service: Service, job: Job) -> None:
+        policy = service.document.policy
+        parks = service.document.endpoint.parked and policy.message_weight > 0
+        sent = {task.key for task in job.tasks if task.state is TaskState.SENT}
+        for task in job.tasks:
+            if task.state is not TaskState.ANSWERED:
+                task.state = TaskState.DROPPED
+        if not parks or not sent:
+            # Nothing waits at agents, so a cancellation would come too late.
+            return
+        for view in service.pool.views:
+            for key in sent & view.outstanding.keys():
+                if view.stream is not None:
+                    self._counts.add("cancels_sent")
+                    self._out(Send(view.stream, Cancel(key)))
+
+    def cancel(self, submission: str) -> None:
+        """Drop what hasn't started of a submission whose caller left."""
+        job = self.jobs.get(submission)
+        if job is not None:
+            self._fail(job, Reason.CANCELLED, "the caller hung up", None)
+
+    def check_times(self) -> None:
+        """Act on deadlines, retries and services without agents."""
+        while self._deadlines and self._deadlines[0][0] <= self._now:
+            _, submission = heapq.heappop(self._deadlines)
+            job = self.jobs.get(submission)
+            if job is not None:
+                self._check_deadline(job)
+        self._write_claims()
+        for service in self.services.values():
+            self._check_deserted(service)
+
+    def _check_deadline(self, job: Job) -> None:
+        if job.deadline <= self._now:
+            detail = "no answer before the deadline"
+            self._fail(job, Reason.DEADLINE_PASSED, detail, COME_BACK)
+            return
+        for task in self._recalls.list_expired(job, self._now):
+            self._give_up_recall(task, running=False)
+
+    def _check_deserted(self, service: Service) -> None:
+        if service.pool.count_usable(self._now) or not service.queue.waiting:
+            service.without_agents_since = None
+            return
+        if service.without_agents_since is None:
+            service.without_agents_since = self._now
+        if self._now - service.without_agents_since < DESERTED_SECONDS:
+            return
+        for job in list(self.jobs.values()):
+            waits = any(task.state is TaskState.WAITING for task in job.tasks)
+            if waits and self.services[job.service] is service:
+                detail = "every endpoint of the service is gone"
+                self._fail(job, Reason.NO_ENDPOINT, detail, COME_BACK)
+
+
+SLOW_PROBE = 4.0
+"""How many times its class's mean a probe may run before it counts as slow."""
+
+
+def make_claim_key(service: str, request_id: str) -> str:
+    """Name the claim of a request id.
+
+    >>> make_claim_key("desk", "r1")
+    'claim/desk/r1'
+    """
+    return f"claim/{service}/{request_id}"
--- /dev/null
+++ b/src/godwitbank/_internal/core/memory.py
@@ -0,0 +1,180 @@
+"""What an agent remembers of tasks: the last gate before a start.
+
+A task may start only if this memory has no trace of an earlier start of it.
+Forgetting is therefore dangerous in one direction: if a record of a started
+task is dropped and an entry then asks about it, "never started" would be false
+and the task would run twice. So whatever is forgotten raises a watermark, and
+a question about a start as old as the watermark is answered "unknown".
+"""
+
+from collections import OrderedDict
+from enum import Enum, auto
+from typing import NamedTuple
+
+from godwitbank._internal.core.events import RunEnded
+from godwitbank._internal.models.messages import Verdict
+from godwitbank._internal.models.tasks import TaskKey
+
+RETENTION = 60.0
+"""Seconds a record outlives its start bound."""
+
+REQUEST_RETENTION = 600.0
+"""Seconds an answer to a non-idempotent request can be asked for again."""
+
+MAX_RECORDS = 100_000
+"""Most records; beyond it the oldest go and the watermark rises."""
+
+MAX_REQUESTS = 2_000
+"""Most non-idempotent answers kept to be asked for again."""
+
+
+class TaskName(NamedTuple):
+    """A task without its attempt."""
+
+    submission: str
+    position: int
+
+
+class State(Enum):
+    """What is known of a task here."""
+
+    FENCED = auto()
+    RUNNING = auto()
+    FINISHED = auto()
+
+
+class Record:
+    """One task's trace."""
+
+    __slots__ = ("attempt", "state", "start_by", "ending", "entry")
+
+    def __init__(self, attempt: int, state: State, start_by: float, entry: str) -> None:
+        self.attempt = attempt
+        self.state = state
+        self.start_by = start_by
+        self.ending: RunEnded | None = None
+        self.entry = entry
+
+
+class Memory:
+    """Records of started and fenced tasks, bounded in time and number."""
+
+    def __init__(
+        self, retention: float = RETENTION, max_records: int = MAX_RECORDS
+    ) -> None:
+        self._records: OrderedDict[TaskName, Record] = OrderedDict()
+        self._requests: OrderedDict[str, TaskName] = OrderedDict()
+        self._request_times: dict[str, float] = {}
+        self._request_endings: dict[str, RunEnded] = {}
+        self._retention = retention
+        self._max_records = max_records
+        self._forgotten = float("-inf")
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def find(self, key: TaskKey) -> Record | None:
+        """Find the record of a task, whatever the attempt."""
+        return self._records.get(TaskName(key.submission, key.position))
+
+    def fence(self, key: TaskKey, start_by: float, entry: str) -> None:
+        """Note that this attempt and all before it never start here."""
+        name = TaskName(key.submission, key.position)
+        record = self._records.get(name)
+        if record is None:
+            self._records[name] = Record(key.attempt, State.FENCED, start_by, entry)
+            return
+        if record.state is State.FENCED:
+            record.attempt = max(record.attempt, key.attempt)
+            record.start_by = max(record.start_by, start_by)
+
+    def is_fenced(self, key: TaskKey) -> bool:
+        """Tell whether this very attempt was declared never to start."""
+        record = self.find(key)
+        return (
+            record is not None
+            and record.state is State.FENCED
+            and record.attempt >= key.attempt
+        )
+
+    def start(
+        self, key: TaskKey, start_by: float, entry: str, request_id: str, now: float
+    ) -> None:
+        """Note a start; the caller has checked that it is allowed."""
+        name = TaskName(key.submission, key.position)
+        self._records.pop(name, None)
+        self._records[name] = Record(key.attempt, State.RUNNING, start_by, entry)
+        if request_id:
+            self._requests[request_id] = name
+            self._request_times[request_id] = now
+
+    def finish(self, ending: RunEnded, request_id: str) -> Record | None:
+        """Note how a started task ended."""
+        record = self.find(ending.key)
+        if record is not None:
+            record.state = State.FINISHED
+            record.ending = ending
+        if request_id in self._requests:
+            self._request_endings[request_id] = ending
+        return record
+
+    def acknowledge(self, key: TaskKey) -> None:
+        """Drop an answer its entry has; the trace of the start stays."""
+        record = self.find(key)
+        if record is not None:
+            record.ending = None
+
+    def resolve(self, key: TaskKey, start_by: float, entry: str) -> Verdict:
+        """Say what became of a start, fencing it if it never arrived."""
+        record = self.find(key)
+        if record is None:
+            if start_by <= self._forgotten:
+                return Verdict.UNKNOWN
+            self.fence(key, start_by, entry)
+            return Verdict.FENCED
+        if record.state is State.RUNNING:
+            return Verdict.RUNNING
+        if record.state is State.FINISHED:
+            return Verdict.FINISHED if record.ending else Verdict.UNKNOWN
+        self.fence(key, start_by, entry)
+        return Verdict.FENCED
+
+    def has_request(self, request_id: str) -> bool:
+        """Tell whether a non-idempotent request was started here."""
+        return request_id in self._requests
+
+    def recall(self, request_id: str) -> tuple[Verdict, RunEnded | None]:
+        """Find the remembered ending of a non-idempotent request."""
+        if request_id not in self._requests:
+            return Verdict.UNKNOWN, None
+        ending = self._request_endings.get(request_id)
+        if ending is None:
+            return Verdict.RUNNING, None
+        return Verdict.FINISHED, ending
+
+    def expire(self, now: float) -> None:
+        """Forget what is old enough, raising the watermark for started tasks."""
+        while self._records:
+            name, record = next(iter(self._records.items()))
+            old = record.start_by + self._retention < now
+            if not old and len(self._records) <= self._max_records:
+                break
+            if record.state is State.RUNNING:
+                # A running task's trace is the only thing that can answer for
+                # it; it moves to the end and is looked at again later.
+                self._records.move_to_end(name)
+                if old or all(
+                    each.state is State.RUNNING for each in self._records.values()
+                ):
+                    break
+                continue
+            del self._records[name]
+            self._forgotten = max(self._forgotten, record.start_by)
+        while self._requests:
+            request_id = next(iter(self._requests))
+            old = self._request_times[request_id] + REQUEST_RETENTION < now
+            if not old and len(self._requests) <= MAX_REQUESTS:
+                break
+            del self._requests[request_id]
+            del self._request_times[request_id]
+            self._request_endings.pop(request_id, None)
--- /dev/null
+++ b/src/godwitbank/_internal/core/peers.py
@@ -0,0 +1,36 @@
+"""Other entries, as one entry sees them."""
+
+from godwitbank._internal.core.pool import FIRST_DIAL_DELAY, MAX_DIAL_DELAY
+
+
+class PeerView:
+    """Another entry; soft state."""
+
+    def __init__(self, address: str, now: float) -> None:
+        self.address = address
+        self.process = ""
+        self.stream: int | None = None
+        self.heard_at = now
+        self.dialling = False
+        self.dial_at = now
+        self.dial_delay = FIRST_DIAL_DELAY
+        self.revisions: dict[str, int] = {}
+
+    def connect(self, stream: int, process: str, now: float) -> None:
+        """Note a new stream."""
+        self.stream = stream
+        self.process = process
+        self.heard_at = now
+        self.dialling = False
+        self.dial_delay = FIRST_DIAL_DELAY
+
+    def disconnect(self, now: float) -> None:
+        """Note that the stream is gone."""
+        self.stream = None
+        self.dial_at = now + FIRST_DIAL_DELAY
+
+    def postpone_dial(self, now: float) -> None:
+        """Note a failed dial."""
+        self.dialling = False
+        self.dial_at = now + self.dial_delay
+        self.dial_delay = min(self.dial_delay * 2, MAX_DIAL_DELAY)
--- /dev/null
+++ b/src/godwitbank/_internal/core/pool.py
@@ -0,0 +1,182 @@
+"""The agents an entry knows, and the choice among them."""
+
+import math
+from random import Random
+
+from godwitbank._internal.core.failure_rate import FailureRate
+from godwitbank._internal.core.work import Task
+from godwitbank._internal.models.messages import Want
+from godwitbank._internal.models.tasks import TaskKey
+
+MAX_DIAL_DELAY = 2.0
+FIRST_DIAL_DELAY = 0.1
+SLOWNESS_WEIGHT = 0.15
+"""Weight of the newest run time in an agent's slowness."""
+
+
+class Sent:
+    """A start on its way or running, as its entry knows it."""
+
+    __slots__ = ("task", "start_by", "sent_at", "incarnation")
+
+    def __init__(
+        self, task: Task, start_by: float, sent_at: float, incarnation: str
+    ) -> None:
+        self.task = task
+        self.start_by = start_by
+        self.sent_at = sent_at
+        self.incarnation = incarnation
+
+
+class AgentView:
+    """An agent as one entry sees it; soft state, rebuilt by heartbeats."""
+
+    def __init__(self, address: str, now: float) -> None:
+        self.address = address
+        self.stream: int | None = None
+        self.process = ""
+        self.incarnation = ""
+        self.zone = ""
+        self.service = ""
+        self.slots = 0
+        self.leaving = False
+        self.outstanding: dict[TaskKey, Sent] = {}
+        self.clock = 0.0
+        self.clock_heard_at = now
+        self.heard_at = now
+        self.lost_at: float | None = None
+        self.dialling = False
+        self.dial_at = now
+        self.dial_delay = FIRST_DIAL_DELAY
+        self.acknowledged = 0
+        self.revisions: dict[str, int] = {}
+        self.failures = FailureRate()
+        self.reported_failure_rate = 0.0
+        self.slowness = 0.0
+        self.runs = 0
+        self.ejected_until = 0.0
+        self.ejections = 0
+        self.probing = False
+        self.wanted: Want | None = None
+        self._reported_free = 0
+        self._seen = 0
+        self._sent = 0
+
+    def connect(self, stream: int, incarnation: str, clock: float, now: float) -> None:
+        """Note a new stream and the agent's clock."""
+        if incarnation != self.incarnation:
+            self.failures.clear()
+            self.slowness = 0.0
+            self.runs = 0
+        self.stream = stream
+        self.incarnation = incarnation
+        self.dialling = False
+        self.dial_delay = FIRST_DIAL_DELAY
+        self.lost_at = None
+        self.heard_at = now
+        self.acknowledged = 0
+        self.wanted = None
+        self._reported_free = 0
+        self._seen = 0
+        self._sent = 0
+        self.set_clock(clock, now)
+
+    def disconnect(self, now: float) -> None:
+        """Note that the stream is gone."""
+        self.stream = None
+        self.lost_at = now
+        self.dial_at = now
+        self._reported_free = 0
+
+    def set_clock(self, clock: float, now: float) -> None:
+        """Note the agent's clock as of its last heartbeat."""
+        self.clock = clock
+        self.clock_heard_at = now
+
+    def postpone_dial(self, now: float) -> None:
+        """Note a failed dial."""
+        self.dialling = False
+        self.dial_at = now + self.dial_delay
+        self.dial_delay = min(self.dial_delay * 2, MAX_DIAL_DELAY)
+
+    def report(self, free: int, seen: int) -> None:
+        """Note how many slots this entry may use."""
+        self._reported_free = free
+        self._seen = seen
+
+    @property
+    def free(self) -> int:
+        """Slots this entry may use now, less the starts still on their way."""
+        return self._reported_free - (self._sent - self._seen)
+
+    def note_sent(self) -> None:
+        """Count a start that was just sent."""
+        self._sent += 1
+        if self.wanted is not None and self.wanted.waiting > 0:
+            # The agent counts the start off what it was told, too.
+            self.wanted = self.wanted._replace(waiting=self.wanted.waiting - 1)
+
+    def observe_run(self, run_time: float, mean: float) -> None:
+        """Note a run time against the mean of its class, in seconds."""
+        ratio = math.log(max(run_time, 1e-4) / max(mean, 1e-4))
+        self.runs += 1
+        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+
+    def is_usable(self, now: float, window: float) -> bool:
+        """Tell whether a start may be sent at all."""
+        return (
+            self.stream is not None
+            and not self.leaving
+            and bool(self.service)
+            and now - self.clock_heard_at < window / 2
+        )
+
+
+class Pool:
+    """Agents of one service, and which of them gets the next start."""
+
+    def __init__(self, rng: Random, zone: str, window: float) -> None:
+        self.views: list[AgentView] = []
+        self._rng = rng
+        self._zone = zone
+        self._window = window
+
+    def choose(self, now: float, same_zone: bool) -> AgentView | None:
+        """Choose the agent with the most free slots for this entry.
+
+        Equals are taken in the entry's own zone first, then at random, so that
+        entries that share agents don't all pick the same one.
+        """
+        best: AgentView | None = None
+        best_score = (0, False, 0.0)
+        for view in self.views:
+            free = view.free
+            if free <= 0 or not self.is_open(view, now):
+                continue
+            near = same_zone and view.zone == self._zone
+            score = (free, near, self._rng.random())
+            if best is None or score > best_score:
+                best = view
+                best_score = score
+        return best
+
+    def is_open(self, view: AgentView, now: float) -> bool:
+        """Tell whether a start may go to an agent now."""
+        if not view.is_usable(now, self._window):
+            return False
+        if view.ejected_until <= 0:
+            return True
+        if now < view.ejected_until:
+            return False
+        # Ejection has run out: one task at a time until it proves itself.
+        return not view.outstanding
+
+    def count_usable(self, now: float) -> int:
+        """Count agents that could take work, ejected or not."""
+        return sum(view.is_usable(now, self._window) for view in self.views)
+
+    def count_slots(self, now: float) -> int:
+        """Count the slots of usable agents."""
+        return sum(
+            view.slots for view in self.views if view.is_usable(now, self._window)
+        )
--- /dev/null
+++ b/src/godwitbank/_internal/core/service.py
@@ -0,0 +1,156 @@
+"""One service at one entry: its document, queue, agents and observations."""
+
+from random import Random
+from typing import NamedTuple
+
+from godwitbank._internal.core.catalog import Held
+from godwitbank._internal.core.pool import Pool
+from godwitbank._internal.core.queue import ServiceQueue
+from godwitbank._internal.core.quota import Quota
+from godwitbank._internal.core.work import ClassStatistics, TaskState
+from godwitbank._internal.models.document import ServiceDocument
+from godwitbank._internal.models.outcomes import Reason
+from godwitbank._internal.models.tasks import Submission
+
+PEER_LAPSE = 3.0
+"""Seconds after which a peer's word about its backlog is out of date."""
+
+SAFETY = 0.9
+"""Part of the time to a deadline that admission may count on."""
+
+
+class PeerBacklog(NamedTuple):
+    """Work another entry said it has waiting."""
+
+    seconds: float
+    heard_at: float
+
+
+class Refusal(NamedTuple):
+    """Why a submission is not admitted.
+
+    :param retry_after: seconds, or ``None`` when time alone won't help.
+    """
+
+    reason: Reason
+    detail: str
+    retry_after: float | None
+
+
+class Service:
+    """State of one service at one entry."""
+
+    def __init__(
+        self, held: Held, rng: Random, zone: str, window: float, now: float
+    ) -> None:
+        self.queue = ServiceQueue()
+        self.pool = Pool(rng, zone, window)
+        self.statistics: dict[str, ClassStatistics] = {}
+        self.peer_backlogs: dict[str, PeerBacklog] = {}
+        self.without_agents_since: float | None = None
+        quota = held.document.quota
+        self.quota = Quota(quota.starts_per_second, quota.burst, now)
+        self.document: ServiceDocument = held.document
+        self.configure(held)
+
+    def configure(self, held: Held) -> None:
+        """Put a document in force."""
+        self.document = held.document
+        quota = held.document.quota
+        self.quota.configure(quota.starts_per_second, quota.burst)
+        for name, table in held.document.classes.items():
+            if name not in self.statistics:
+                self.statistics[name] = ClassStatistics(table)
+            self.queue.set_class(name, table.weight, self.statistics[name].mean)
+
+    def observe(self, class_name: str, run_time: float) -> None:
+        """Note a run time, in seconds."""
+        statistics = self.statistics.get(class_name)
+        if statistics is not None:
+            statistics.observe(run_time)
+            self.queue.observe(class_name, statistics.mean)
+
+    def estimate_ideal(self, submission: Submission, now: float) -> float:
+        """Estimate a submission's response on an idle system, in seconds."""
+        means = [self.statistics[task.class_name].mean for task in submission.tasks]
+        slots = self.pool.count_slots(now) or 1
+        return max(max(means), sum(means) / slots)
+
+    def rank(self, submission: Submission, now: float) -> float:
+        """Set the time before which nobody passes a submission."""
+        stretch = self.document.policy.stretch
+        return now + stretch * self.estimate_ideal(submission, now)
+
+    def estimate_wait(self, rank: float, now: float) -> float:
+        """Estimate how long work of a rank would wait, in seconds.
+
+        Other entries' work goes to the same slots, so this entry's backlog is
+        scaled by theirs.
+        """
+        own = self.queue.measure_backlog()
+        ahead = self.queue.measure_ahead(rank)
+        others = sum(
+            peer.seconds
+            for peer in self.peer_backlogs.values()
+            if now - peer.heard_at < PEER_LAPSE
+        )
+        if own > 0:
+            ahead += others * ahead / own
+        return ahead / (self.pool.count_slots(now) or 1)
+
+    def check(self, submission: Submission, now: float) -> Refusal | None:
+        """Say why a submission can't be admitted, or ``None``."""
+        refusal = self._check_tasks(submission)
+        if refusal is not None:
+            return refusal
+        if self.pool.count_usable(now) == 0 and self._is_deserted(now):
+            return Refusal(Reason.NO_ENDPOINT, "no endpoint announced itself", 2.0)
+        refusal = self._check_bounds(submission)
+        if refusal is not None:
+            return refusal
+        ideal = self.estimate_ideal(submission, now)
+        wait = self.estimate_wait(self.rank(submission, now), now)
+        left = submission.deadline - now
+        if wait > 0 and wait + ideal > left * SAFETY:
+            return Refusal(
+                Reason.DEADLINE_UNREACHABLE,
+                f"{wait:.1f} s of work wait before it",
+                max(wait + ideal - left * SAFETY, 0.1),
+            )
+        delay = self.quota.take(len(submission.tasks), now)
+        if delay > 0:
+            return Refusal(Reason.QUOTA, "the team's quota is used up", delay)
+        return None
+
+    def _check_tasks(self, submission: Submission) -> Refusal | None:
+        for index, task in enumerate(submission.tasks):
+            table = self.document.classes.get(task.class_name)
+            if table is None:
+                known = ", ".join(sorted(self.document.classes))
+                detail = f"task {index}: class {task.class_name!r} is not of: {known}"
+                return Refusal(Reason.UNKNOWN_CLASS, detail, None)
+            if not table.idempotent and not task.request_id:
+                detail = f"task {index}: class {task.class_name!r} needs a request id"
+                return Refusal(Reason.MISSING_REQUEST_ID, detail, None)
+        return None
+
+    def _check_bounds(self, submission: Submission) -> Refusal | None:
+        for name in {task.class_name for task in submission.tasks}:
+            table = self.document.classes[name]
+            if self.queue.count(name) >= table.queue_tasks:
+                waiting = self.queue.count(name)
+                wait = waiting * self.statistics[name].mean
+                return Refusal(
+                    Reason.QUEUE_FULL, f"{waiting} tasks of {name!r} wait", wait
+                )
+        return None
+
+    def _is_deserted(self, now: float) -> bool:
+        return not any(view.lost_at is not None for view in self.pool.views)
+
+    def drop_waiting(self, tasks: list) -> None:
+        """Take a failed job's waiting tasks out of the queue."""
+        for task in tasks:
+            if task.state is TaskState.WAITING:
+                task.state = TaskState.DROPPED
+                self.queue.drop(task)
--- /dev/null
+++ b/src/godwitbank/_internal/core/work.py
@@ -0,0 +1,95 @@
+"""Jobs in flight at one entry."""
+
+from enum import Enum, auto
+
+from godwitbank._internal.models.document import ClassTable
+from godwitbank._internal.models.outcomes import TaskAnswer
+from godwitbank._internal.models.tasks import Submission, TaskKey, TaskSpec
+
+
+class TaskState(Enum):
+    """Where a task stands."""
+
+    CLAIMING = auto()
+    RECALLING = auto()
+    WAITING = auto()
+    SENT = auto()
+    ANSWERED = auto()
+    DROPPED = auto()
+
+
+class Task:
+    """One task of a job in flight."""
+
+    __slots__ = ("job", "index", "spec", "state", "attempt", "key", "refusals", "claim")
+
+    def __init__(self, job: "Job", index: int, spec: TaskSpec) -> None:
+        self.job = job
+        self.index = index
+        self.spec = spec
+        self.state = TaskState.WAITING
+        self.attempt = 0
+        self.key = TaskKey(job.submission, index, 0)
+        self.refusals = 0
+        self.claim = ""
+
+    def begin_attempt(self) -> TaskKey:
+        """Name the next attempt; a key is sent at most once."""
+        self.attempt += 1
+        self.key = TaskKey(self.job.submission, self.index, self.attempt)
+        self.state = TaskState.SENT
+        return self.key
+
+
+class Job:
+    """A submission in flight: every task, and what is known of it."""
+
+    __slots__ = (
+        "submission",
+        "service",
+        "arrival",
+        "deadline",
+        "tasks",
+        "answers",
+        "unanswered",
+        "started",
+        "rank",
+    )
+
+    def __init__(self, submission: Submission, now: float, rank: float) -> None:
+        self.submission = submission.submission
+        self.service = submission.service
+        self.arrival = now
+        self.deadline = submission.deadline
+        self.rank = rank
+        self.tasks = [
+            Task(self, index, spec) for index, spec in enumerate(submission.tasks)
+        ]
+        self.answers: list[TaskAnswer | None] = [None] * len(self.tasks)
+        self.unanswered = len(self.tasks)
+        self.started = 0
+
+    def answer(self, task: Task, answer: TaskAnswer) -> bool:
+        """Join one answer.
+
+        :return: whether the job is now complete.
+        """
+        task.state = TaskState.ANSWERED
+        self.answers[task.index] = answer
+        self.unanswered -= 1
+        return self.unanswered == 0
+
+
+class ClassStatistics:
+    """Observed run times of one class; declared ones are off by ten times."""
+
+    __slots__ = ("mean",)
+
+    WEIGHT = 0.05
+
+    def __init__(self, table: ClassTable) -> None:
+        self.mean = table.expected_seconds
+
+    def observe(self, run_time: float) -> None:
+        """Note one run time, in seconds."""
+        self.mean += self.WEIGHT * (run_time - self.mean)
--- /dev/null
+++ b/src/godwitbank/_internal/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP faces of entry and agent."""
--- /dev/null
+++ b/src/godwitbank/_internal/http/agent.py
@@ -0,0 +1,81 @@
+"""The agent's local HTTP face: the endpoint beside it, and monitoring."""
+
+from typing import TYPE_CHECKING, Any, TypedDict
+
+from litestar import Litestar, Response, delete, get, put
+from litestar.exceptions import HTTPException
+
+from godwitbank._internal.http.entry import METRICS_TYPE, _handle_http_error
+from godwitbank._internal.http.problems import make_fault
+from godwitbank._internal.models.document import MAX_SLOTS
+
+if TYPE_CHECKING:
+    from godwitbank._internal.operations.agent import AgentProcess
+
+MAX_LEASE = 60.0
+
+
+class Announcement(TypedDict):
+    """What an endpoint says of itself.
+
+    :param url: base URL; tasks are posted to ``/run`` below it.
+    :param lease_seconds: how long it counts as there without a renewal.
+    :param instance: its own name for this run of its process.
+    """
+
+    service: str
+    url: str
+    slots: int
+    connections: int
+    lease_seconds: float
+    instance: str
+
+
+def _find_fault(announcement: Announcement) -> str | None:
+    if not announcement["service"]:
+        return "service is empty"
+    if not announcement["url"].startswith("http://"):
+        return "url doesn't start with http://"
+    if not 1 <= announcement["slots"] <= MAX_SLOTS:
+        return f"slots lie between 1 and {MAX_SLOTS}"
+    if announcement["connections"] < announcement["slots"]:
+        return "fewer connections than slots"
+    if not 0 < announcement["lease_seconds"] <= MAX_LEASE:
+        return f"lease_seconds lie between 0 and {MAX_LEASE:g}"
+    return None
+
+
+def make_app(process: "AgentProcess") -> Litestar:
+    """Make the application of one agent."""
+
+    @put("/v1/endpoint", summary="Announce the endpoint, or renew.")
+    async def announce(data: Announcement) -> Response[bytes] | dict[str, Any]:
+        fault = _find_fault(data)
+        if fault is not None:
+            return make_fault(422, "wrong_announcement", fault, "mend the body")
+        await process.announce(data)
+        return process.core.describe()
+
+    @delete("/v1/endpoint", summary="Say that the endpoint leaves.", status_code=200)
+    async def leave() -> dict[str, Any]:
+        await process.leave()
+        return process.core.describe()
+
+    @get("/v1/endpoint", summary="Show the agent's state.")
+    async def show() -> dict[str, Any]:
+        return process.core.describe()
+
+    @get("/v1/health", summary="Say that this process lives.")
+    async def show_health() -> dict[str, str]:
+        return {"status": "alive"}
+
+    @get("/metrics", summary="Counters and percentiles.", media_type="text/plain")
+    async def show_metrics() -> Response[bytes]:
+        return Response(process.exporter.render(), media_type=METRICS_TYPE)
+
+    return Litestar(
+        route_handlers=[announce, leave, show, show_health, show_metrics],
+        exception_handlers={HTTPException: _handle_http_error},
+        openapi_config=None,
+        logging_config=None,
+    )
--- /dev/null
+++ b/src/godwitbank/_internal/http/entry.py
@@ -0,0 +1,229 @@
+"""The entry's HTTP face: callers, operators and monitoring."""
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Annotated, Any
+
+import httptools  # noqa: F401  fails here, at start, rather than in the server
+from litestar import Litestar, Request, Response, get, post, put
+from litestar.exceptions import ClientException, HTTPException
+from litestar.openapi.config import OpenAPIConfig
+from litestar.params import HeaderParameter
+from returns.result import Success
+
+from godwitbank import __version__
+from godwitbank._internal.exceptions import ConflictError, TableError
+from godwitbank._internal.http.bodies import (
+    JSON,
+    Parsed,
+    encode_job,
+    parse_job,
+    parse_request,
+)
+from godwitbank._internal.http.problems import make_fault, make_problem
+from godwitbank._internal.models.document import ServiceDocument
+from godwitbank._internal.models.outcomes import Complete, Failed, Outcome
+from godwitbank._internal.operations.registry import Application
+from godwitbank._internal.operations.status import describe_entry
+
+if TYPE_CHECKING:
+    from godwitbank._internal.operations.entry import EntryProcess
+
+MAX_DOCUMENT = 256 * 1024
+METRICS_TYPE = "text/plain; version=0.0.4"
+Header = Annotated[str, HeaderParameter(name="Idempotency-Key")]
+
+
+class CallerGoneError(Exception):
+    """The caller hung up; nobody is left to answer."""
+
+
+async def _await_outcome(
+    process: "EntryProcess", request: Request, service: str, parsed: Parsed
+) -> Outcome:
+    seconds = process.find_deadline(service, parsed.tasks)
+    if parsed.seconds:
+        seconds = min(seconds, parsed.seconds)
+    work = asyncio.ensure_future(process.submit(service, parsed.tasks, seconds))
+    gone = asyncio.ensure_future(_await_disconnect(request))
+    try:
+        await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            return work.result()
+        work.cancel()
+        raise CallerGoneError
+    finally:
+        gone.cancel()
+
+
+async def _await_disconnect(request: Request) -> None:
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            return
+
+
+def _make_handlers(process: "EntryProcess") -> list[Any]:
+    @post(
+        "/v1/services/{service:str}/requests",
+        summary="Run one task and answer with the endpoint's answer.",
+        status_code=200,
+    )
+    async def submit_request(
+        service: str, request: Request, idempotency_key: Header = ""
+    ) -> Response[bytes]:
+        began = time.monotonic()
+        parsed = parse_request(await request.body(), idempotency_key)
+        if not isinstance(parsed, Success):
+            return _refuse_body(parsed.failure())
+        outcome = await _await_outcome(process, request, service, parsed.unwrap())
+        process.exporter.record("request", time.monotonic() - began)
+        if isinstance(outcome, Failed):
+            return make_problem(outcome)
+        answer = outcome.answers[0]
+        headers = {"Godwitbank-Submission": outcome.submission}
+        return Response(
+            answer.body,
+            status_code=answer.status,
+            media_type=answer.content_type,
+            headers=headers,
+        )
+
+    @post(
+        "/v1/services/{service:str}/jobs",
+        summary="Run up to 460 tasks; answer with all answers or a failure.",
+        status_code=200,
+    )
+    async def submit_job(service: str, request: Request) -> Response[bytes]:
+        began = time.monotonic()
+        result = parse_job(await request.body())
+        if not isinstance(result, Success):
+            return _refuse_body(result.failure())
+        parsed = result.unwrap()
+        outcome = await _await_outcome(process, request, service, parsed)
+        process.exporter.record("job", time.monotonic() - began)
+        if isinstance(outcome, Complete):
+            body = encode_job(outcome.submission, parsed.names, outcome.answers)
+            return Response(body, media_type=JSON)
+        name = None if outcome.task is None else parsed.names[outcome.task]
+        return make_problem(outcome, name)
+
+    return [submit_request, submit_job]
+
+
+def _refuse_body(detail: str) -> Response[bytes]:
+    return make_fault(400, "malformed_body", detail, "mend the body; see /schema")
+
+
+def _make_operator_handlers(process: "EntryProcess") -> list[Any]:
+    @put("/v1/services/{service:str}/document", summary="Accept a document.")
+    async def apply_document(
+        service: str,
+        request: Request,
+        operation: Annotated[str, HeaderParameter(name="Operation-Id")],
+        operator: Annotated[str, HeaderParameter(name="Operator")],
+        expected: Annotated[str, HeaderParameter(name="If-Match")] = "",
+    ) -> Response[bytes] | dict[str, Any]:
+        text = (await request.body()).decode(errors="replace")
+        parsed = ServiceDocument.from_text(text)
+        if not isinstance(parsed, Success):
+            detail = str(parsed.failure())
+            return make_fault(422, "wrong_document", detail, "mend the document")
+        if parsed.unwrap().name != service:
+            detail = f"the document is of {parsed.unwrap().name!r}"
+            return make_fault(422, "wrong_service", detail, "apply it to its service")
+        if expected and not expected.strip('"').isdigit():
+            return make_fault(
+                400, "wrong_revision", expected, "give If-Match a revision"
+            )
+        wanted = int(expected.strip('"')) if expected else None
+        application = Application(service, text, operator, operation, wanted)
+        try:
+            revision = await process.registry.apply(application)
+        except ConflictError as error:
+            return make_fault(409, "conflict", str(error), error.remedy)
+        except TableError as error:
+            return make_fault(
+                503, "acceptance_unknown", str(error), error.remedy, "may_have_run"
+            )
+        return {"service": service, "revision": revision}
+
+    @get("/v1/services/{service:str}/document", summary="Show a document in force.")
+    async def show_document(service: str) -> Response[bytes]:
+        held = process.core.catalog.find(service)
+        if held is None:
+            return make_fault(404, "unknown_service", service, "apply its document")
+        headers = {"ETag": f'"{held.revision}"'}
+        text = held.text.encode()
+        return Response(text, media_type="application/toml", headers=headers)
+
+    @get("/v1/status", summary="Show what this entry knows.")
+    async def show_status() -> dict[str, Any]:
+        return describe_entry(process)
+
+    @post("/v1/agents/{agent:str}/drain", summary="Ask an agent to leave.")
+    async def drain(
+        agent: str, operator: Annotated[str, HeaderParameter(name="Operator")]
+    ) -> Response[bytes] | dict[str, Any]:
+        if not process.drain_agent(agent, operator):
+            remedy = "see 'godwitbank status' for the agents connected"
+            return make_fault(404, "unknown_agent", agent, remedy)
+        return {"agent": agent, "draining": True}
+
+    return [apply_document, show_document, show_status, drain]
+
+
+def _make_monitoring_handlers(process: "EntryProcess") -> list[Any]:
+    @get("/v1/health", summary="Say that this process lives.")
+    async def show_health() -> dict[str, str]:
+        return {"status": "alive"}
+
+    @get("/v1/ready", summary="Say whether the balancer should send callers here.")
+    async def show_ready() -> Response[dict[str, bool]]:
+        status = 200 if process.ready else 503
+        return Response({"ready": process.ready}, status_code=status)
+
+    @get("/metrics", summary="Counters and percentiles.", media_type="text/plain")
+    async def show_metrics() -> Response[bytes]:
+        return Response(process.exporter.render(), media_type=METRICS_TYPE)
+
+    return [show_health, show_ready, show_metrics]
+
+
+def _handle_http_error(request: Request, error: HTTPException) -> Response[bytes]:
+    del request
+    names = {413: "body_too_large", 404: "not_found", 405: "method_not_allowed"}
+    name = names.get(error.status_code, "bad_request")
+    return make_fault(error.status_code, name, error.detail, "see /schema")
+
+
+def _handle_caller_gone(request: Request, error: CallerGoneError) -> Response[bytes]:
+    del request, error
+    return Response(b"", status_code=499)
+
+
+def make_app(process: "EntryProcess") -> Litestar:
+    """Make the application of one entry."""
+
+    async def add_connection_header(response: Response) -> Response:
+        if process.stopping.is_set():
+            # A kept-alive connection would be closed under its next request.
+            response.headers["Connection"] = "close"
+        return response
+
+    return Litestar(
+        route_handlers=[
+            *_make_handlers(process),
+            *_make_operator_handlers(process),
+            *_make_monitoring_handlers(process),
+        ],
+        request_max_body_size=process.settings.max_body,
+        after_request=add_connection_header,
+        exception_handlers={
+            ClientException: _handle_http_error,
+            HTTPException: _handle_http_error,
+            CallerGoneError: _handle_caller_gone,
+        },
+        openapi_config=OpenAPIConfig(title="godwitbank", version=__version__),
+        logging_config=None,
+    )
--- /dev/null
+++ b/src/godwitbank/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Plain data shared by the processes."""
--- /dev/null
+++ b/src/godwitbank/_internal/models/messages.py
@@ -0,0 +1,309 @@
+"""Messages between godwitbank's own processes.
+
+Every message is a flat ``NamedTuple`` of scalars and lists, so that the codec
+needs no reflection per frame. Order of the registry is the wire protocol: add
+at the end and raise ``PROTOCOL_VERSION`` when a meaning changes.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from godwitbank._internal.models.tasks import TaskKey
+
+PROTOCOL_VERSION = 1
+
+
+class Refusal(StrEnum):
+    """Why an agent did not start a task. Each means: never started, fenced."""
+
+    BUSY = "busy"
+    LEAVING = "leaving"
+    STALE = "stale"
+    LAPSED = "lapsed"
+    NO_ENDPOINT = "no_endpoint"
+    WRONG_INCARNATION = "wrong_incarnation"
+    WRONG_SERVICE = "wrong_service"
+    FENCED = "fenced"
+    DUPLICATE = "duplicate"
+    CANCELLED = "cancelled"
+
+
+class Verdict(StrEnum):
+    """An agent's answer to a question about an earlier start."""
+
+    FENCED = "fenced"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+
+
+class Ending(StrEnum):
+    """How a started task ended."""
+
+    ANSWERED = "answered"
+    ENDPOINT_FAILED = "endpoint_failed"
+    TIMED_OUT = "timed_out"
+
+
+class Role(StrEnum):
+    """Who is at the other end of a stream."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class Hello(NamedTuple):
+    """First frame from whoever dialled.
+
+    :param address: ``host:port`` where the sender accepts streams.
+    """
+
+    version: int
+    role: str
+    process: str
+    incarnation: str
+    address: str
+    zone: str
+
+
+class Welcome(NamedTuple):
+    """An agent's reply to an entry's hello.
+
+    :param clock: the agent's monotonic clock, in seconds.
+    """
+
+    version: int
+    process: str
+    incarnation: str
+    zone: str
+    clock: float
+
+
+class Start(NamedTuple):
+    """Start one task, once, before ``start_by`` of the agent's clock.
+
+    :param timeout: seconds the endpoint has for its answer.
+    """
+
+    key: TaskKey
+    incarnation: str
+    service: str
+    class_name: str
+    request_id: str
+    start_by: float
+    timeout: float
+    payload: bytes
+
+
+class Finished(NamedTuple):
+    """A started task ended.
+
+    :param run_time: seconds the endpoint took.
+    :param free: slots this entry may use now.
+    :param seen: starts received on this stream so far.
+    """
+
+    key: TaskKey
+    ending: str
+    status: int
+    content_type: str
+    body: bytes
+    run_time: float
+    free: int
+    seen: int
+
+
+class Refused(NamedTuple):
+    """The attempt was not started and never will be."""
+
+    key: TaskKey
+    reason: str
+    free: int
+    seen: int
+
+
+class Cancel(NamedTuple):
+    """Don't start this attempt if it hasn't started."""
+
+    key: TaskKey
+
+
+class Resolve(NamedTuple):
+    """Ask what became of a start sent on an earlier stream.
+
+    :param start_by: the bound the start carried, in the agent's clock.
+    """
+
+    key: TaskKey
+    incarnation: str
+    start_by: float
+
+
+class Resolved(NamedTuple):
+    """Answer to ``Resolve``; ``Finished`` follows a ``FINISHED`` verdict."""
+
+    key: TaskKey
+    verdict: str
+
+
+class Want(NamedTuple):
+    """How much an entry has waiting for this agent's service.
+
+    :param waiting: waiting tasks.
+    :param rank_in: seconds from now to the rank of the most urgent of them;
+        smaller is more urgent.
+    """
+
+    waiting: int
+    rank_in: float
+
+
+class Load(NamedTuple):
+    """How many slots the entry may use now.
+
+    :param seen: starts received on this stream so far, so that the entry can
+        subtract those still on their way.
+    """
+
+    free: int
+    seen: int
+
+
+class EndpointState(NamedTuple):
+    """What stands behind an agent.
+
+    :param service: empty while no endpoint has announced itself.
+    """
+
+    service: str
+    slots: int
+    leaving: bool
+
+
+class Heartbeat(NamedTuple):
+    """Sent both ways on every stream, whether or not there is other traffic.
+
+    :param clock: sender's monotonic clock, in seconds.
+    :param digest: checksum over the service revisions the sender holds.
+    :param acknowledged: count of ``Finished`` frames received on this stream.
+    :param failure_rate: agent only: share of recent submissions its endpoint
+        failed, 0 to 1.
+    """
+
+    clock: float
+    digest: int
+    acknowledged: int
+    failure_rate: float
+    free: int
+    seen: int
+
+
+class Revisions(NamedTuple):
+    """Every service revision the sender holds, as ``[service, revision]``."""
+
+    held: list[list[str | int]]
+
+
+class Document(NamedTuple):
+    """One accepted service document."""
+
+    service: str
+    revision: int
+    text: str
+
+
+class Peers(NamedTuple):
+    """Addresses the sender knows: entries', then agents'."""
+
+    entries: list[str]
+    agents: list[str]
+
+
+class PeerLoad(NamedTuple):
+    """What an entry tells its peers about one service.
+
+    :param backlog: seconds of work waiting.
+    :param demand: admitted or refused starts a second.
+    """
+
+    service: str
+    backlog: float
+    demand: float
+
+
+class Drain(NamedTuple):
+    """An operator asks this agent to leave."""
+
+    operator: str
+
+
+class Recall(NamedTuple):
+    """Ask whether an agent remembers a non-idempotent request."""
+
+    service: str
+    request_id: str
+
+
+class Recalled(NamedTuple):
+    """Answer to ``Recall``; the answer is filled when ``verdict`` is finished."""
+
+    service: str
+    request_id: str
+    verdict: str
+    ending: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Goodbye(NamedTuple):
+    """The sender is about to close this stream on purpose."""
+
+    reason: str
+
+
+Message = (
+    Hello
+    | Welcome
+    | Start
+    | Finished
+    | Refused
+    | Cancel
+    | Resolve
+    | Resolved
+    | Want
+    | Load
+    | EndpointState
+    | Heartbeat
+    | Revisions
+    | Document
+    | Peers
+    | PeerLoad
+    | Drain
+    | Recall
+    | Recalled
+    | Goodbye
+)
+
+REGISTRY: tuple[type[Message], ...] = (
+    Hello,
+    Welcome,
+    Start,
+    Finished,
+    Refused,
+    Cancel,
+    Resolve,
+    Resolved,
+    Want,
+    Load,
+    EndpointState,
+    Heartbeat,
+    Revisions,
+    Document,
+    Peers,
+    PeerLoad,
+    Drain,
+    Recall,
+    Recalled,
+    Goodbye,
+)
--- /dev/null
+++ b/src/godwitbank/_internal/models/settings.py
@@ -0,0 +1,120 @@
+"""Settings of the daemons, read from TOML and checked at start."""
+
+from pathlib import Path
+from typing import NamedTuple, TypeVar
+
+from returns.result import Success
+
+from godwitbank._internal.exceptions import SettingsError
+from godwitbank._internal.utils.tables import TableFault, parse_text, read_table
+
+
+class EntrySettings(NamedTuple):
+    """Settings of ``godwitbank-entry``.
+
+    :param name: name of this process in logs and status.
+    :param zone: availability zone of this VM.
+    :param http: ``host:port`` for callers and operators.
+    :param stream: ``host:port`` for agents and other entries.
+    :param balancer: ``host:port`` of the platform's balancer in front of all
+        entries' stream addresses; empty when there is a single entry.
+    :param table: base URL of the platform's table service.
+    :param heartbeat: seconds between heartbeats.
+    :param silence: seconds without a frame after which a stream is closed.
+    :param start_window: seconds a start stays valid after the agent's last
+        heartbeat.
+    :param unready_delay: seconds served after SIGTERM before draining, so that
+        the balancer notices.
+    :param max_body: bytes of the largest request body.
+    """
+
+    name: str
+    zone: str
+    http: str
+    stream: str
+    table: str
+    balancer: str = ""
+    heartbeat: float = 0.5
+    silence: float = 2.0
+    start_window: float = 3.0
+    unready_delay: float = 2.0
+    max_body: int = 4 * 1024 * 1024
+    seed: int = 0
+
+
+class AgentSettings(NamedTuple):
+    """Settings of ``godwitbank-agent``.
+
+    :param name: name of this process in logs and status.
+    :param stream: ``host:port`` on which entries dial this agent.
+    :param http: ``host:port``, local, for the endpoint.
+    :param balancer: ``host:port`` of the platform's balancer in front of all
+        entries' stream addresses.
+    :param announce: seconds between announcements to the balancer.
+    :param advertised: ``host:port`` that entries dial, where it differs from
+        ``stream`` (address translation).
+    """
+
+    name: str
+    zone: str
+    stream: str
+    http: str
+    balancer: str
+    heartbeat: float = 0.5
+    silence: float = 2.0
+    announce: float = 1.0
+    advertised: str = ""
+    seed: int = 0
+
+
+S = TypeVar("S", EntrySettings, AgentSettings)
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``.
+
+    >>> parse_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _check_address(settings: NamedTuple, text: str) -> TableFault | None:
+    for key in ("http", "stream", "balancer"):
+        address = getattr(settings, key)
+        if key == "balancer" and not address:
+            continue
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            return TableFault(
+                0, key, f"{address!r} is not an address", "give host:port"
+            )
+    return None
+
+
+def load_settings(path: str, shape: type[S]) -> S:
+    """Read and check a settings file.
+
+    :raises SettingsError: naming file, line, key and remedy.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(
+            f"settings can't be read: {error.strerror}",
+            context=path,
+            remedy="give --settings the path of a readable TOML file",
+        ) from None
+    result = parse_text(text).bind(lambda table: read_table(table, shape, text))
+    fault = None if isinstance(result, Success) else result.failure()
+    if fault is None:
+        fault = _check_address(result.unwrap(), text)
+    if fault is not None:
+        raise SettingsError(
+            f"settings are wrong: {fault}",
+            context=path,
+            remedy="mend the file and start again",
+        )
+    settings: S = result.unwrap()
+    return settings
--- /dev/null
+++ b/src/godwitbank/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between processes and clients of outside services."""
--- /dev/null
+++ b/src/godwitbank/_internal/network/table.py
@@ -0,0 +1,107 @@
+"""Client of the platform's transactional table service.
+
+The service commits a set of writes if a set of rows is unchanged. A write whose
+answer was lost may have committed; callers settle that by reading back or by
+sending the same write again, never by assuming.
+"""
+
+from typing import Any, NamedTuple, TypedDict
+
+import httpx
+
+from godwitbank._internal.exceptions import TableError
+
+READ_SECONDS = 1.0
+WRITE_SECONDS = 1.5
+
+
+class Row(NamedTuple):
+    """A row as read.
+
+    :param version: 0 for a row that doesn't exist.
+    """
+
+    key: str
+    version: int
+    value: Any
+
+
+class Put(TypedDict):
+    """A write: the row must be at ``version``."""
+
+    key: str
+    version: int
+    value: Any
+
+
+class Conflict(NamedTuple):
+    """Rows that were not at the expected version."""
+
+    rows: dict[str, Row]
+
+
+class TableClient:
+    """Reads and conditional writes over HTTP."""
+
+    def __init__(self, base_url: str) -> None:
+        limits = httpx.Limits(max_connections=8)
+        self._client = httpx.AsyncClient(base_url=base_url, limits=limits)
+
+    async def read(self, key: str) -> Row:
+        """Read one row.
+
+        :raises TableError: when the service gives no usable answer.
+        """
+        body = await self._call("GET", f"/v1/rows/{key}", READ_SECONDS, None)
+        return Row(key, int(body["version"]), body["value"])
+
+    async def write(self, puts: list[Put], ttl: float = 0.0) -> Conflict | None:
+        """Commit all writes or none.
+
+        :param ttl: seconds after which the rows may be dropped; 0 keeps them.
+        :return: the rows in conflict, or ``None`` when committed.
+        :raises TableError: when it isn't known whether it committed.
+        """
+        request = {"puts": puts, "ttl": ttl}
+        body = await self._call("POST", "/v1/transactions", WRITE_SECONDS, request)
+        if body["committed"]:
+            return None
+        rows = {
+            row["key"]: Row(row["key"], int(row["version"]), row["value"])
+            for row in body["conflicts"]
+        }
+        return Conflict(rows)
+
+    async def delete(self, values: dict[str, Any]) -> None:
+        """Delete the rows that still hold these values.
+
+        :raises TableError: when it isn't known whether it committed.
+        """
+        request = {"deletes": values}
+        await self._call("POST", "/v1/deletions", WRITE_SECONDS, request)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+    async def _call(
+        self, method: str, path: str, timeout: float, body: Any
+    ) -> dict[str, Any]:
+        try:
+            answer = await self._client.request(
+                method, path, json=body, timeout=timeout
+            )
+            if answer.status_code != httpx.codes.OK:
+                raise TableError(
+                    f"the table service answered {answer.status_code}",
+                    context=path,
+                    remedy="wait for the platform's service to recover",
+                )
+            read: dict[str, Any] = answer.json()
+        except (httpx.HTTPError, ValueError) as error:
+            raise TableError(
+                "the table service gave no answer",
+                context=f"{path}: {type(error).__name__}",
+                remedy="wait for the platform's service to recover",
+            ) from None
+        return read
--- /dev/null
+++ b/src/godwitbank/_internal/operations/__init__.py
@@ -0,0 +1,1 @@
+"""The asyncio shells that run the cores."""
--- /dev/null
+++ b/src/godwitbank/_internal/operations/agent.py
@@ -0,0 +1,204 @@
+"""The agent's shell: sockets, endpoint calls and timers round its core."""
+
+import asyncio
+import contextlib
+import signal
+import time
+import uuid
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from godwitbank._internal.core.agent import AgentCore, Identity, Timing
+from godwitbank._internal.core.announcements import Announcements
+from godwitbank._internal.core.events import (
+    Action,
+    CloseStream,
+    Drained,
+    EndpointAnnounced,
+    EndpointLeft,
+    RunEnded,
+    RunTask,
+    Send,
+    StopRequested,
+)
+from godwitbank._internal.exceptions import FrameError
+from godwitbank._internal.http.agent import make_app
+from godwitbank._internal.models.messages import (
+    PROTOCOL_VERSION,
+    Ending,
+    Hello,
+    Message,
+    Peers,
+    Role,
+)
+from godwitbank._internal.models.settings import AgentSettings, parse_address
+from godwitbank._internal.network.codec import FrameReader, encode
+from godwitbank._internal.network.endpoint import EndpointClient
+from godwitbank._internal.network.streams import StreamEvents, StreamTable
+from godwitbank._internal.operations.inbox import Inbox
+from godwitbank._internal.operations.metrics import Exporter
+from godwitbank._internal.operations.server import HttpServer, bind
+
+if TYPE_CHECKING:
+    from godwitbank._internal.http.agent import Announcement
+
+ANNOUNCE_SECONDS = 1.0
+"""Longest wait for an entry's reply to an announcement."""
+
+READ_SIZE = 65536
+
+
+class AgentProcess:
+    """One agent."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        self.settings = settings
+        address = settings.advertised or settings.stream
+        identity = Identity(settings.name, uuid.uuid4().hex, address, settings.zone)
+        timing = Timing(settings.heartbeat, settings.silence)
+        self.core = AgentCore(identity, timing, time.monotonic())
+        self.exporter = Exporter(self.core.counts)
+        self._announcements = Announcements(settings.balancer)
+        self._stopping = asyncio.Event()
+        self._drained = asyncio.Event()
+        self._endpoint: EndpointClient | None = None
+        self._endpoint_url = ""
+        self._runs: set[asyncio.Task[None]] = set()
+        self._inbox = Inbox(
+            self.core, self._perform, lambda: self.core.next_wakeup, time.monotonic
+        )
+        self._greeting = Hello(
+            PROTOCOL_VERSION,
+            Role.AGENT,
+            identity.process,
+            identity.incarnation,
+            identity.address,
+            identity.zone,
+        )
+        events = StreamEvents(self._inbox.put, self.core.counts.add)
+        self._streams = StreamTable(events, self._greeting)
+
+    # What the HTTP application calls
+
+    async def announce(self, announcement: "Announcement") -> None:
+        """Take an endpoint's announcement or renewal."""
+        if announcement["url"] != self._endpoint_url:
+            self._endpoint_url = announcement["url"]
+            self._endpoint = EndpointClient(
+                announcement["url"], announcement["connections"]
+            )
+        event = EndpointAnnounced(
+            announcement["service"],
+            announcement["slots"],
+            announcement["lease_seconds"],
+            announcement["instance"],
+        )
+        await self._hand_over(event)
+
+    async def leave(self) -> None:
+        """Take the endpoint's word that it leaves."""
+        await self._hand_over(EndpointLeft())
+
+    async def _hand_over(self, event: object) -> None:
+        # The reply must describe the state after the event, so that an endpoint
+        # told "leaving" can rely on it.
+        self._inbox.put(event)
+        await self._inbox.flush()
+
+    # Actions
+
+    def _perform(self, actions: list[Action]) -> None:
+        writes: dict[int, list[Message]] = {}
+        for action in actions:
+            if isinstance(action, Send):
+                writes.setdefault(action.stream, []).append(action.message)
+            elif isinstance(action, RunTask):
+                self._run_task(action)
+            elif isinstance(action, CloseStream):
+                self._streams.write(action.stream, writes.pop(action.stream, []))
+                self._streams.close(action.stream, action.reason == "silence")
+                logging.info("closed stream %d: %s", action.stream, action.reason)
+            elif isinstance(action, Drained):
+                self._drained.set()
+        for stream, messages in writes.items():
+            self._streams.write(stream, messages)
+
+    def _run_task(self, action: RunTask) -> None:
+        task = asyncio.create_task(self._run(action))
+        self._runs.add(task)
+        task.add_done_callback(self._runs.discard)
+
+    async def _run(self, action: RunTask) -> None:
+        if self._endpoint is None:
+            detail = b"no endpoint"
+            ending = Ending.ENDPOINT_FAILED
+            ended = RunEnded(action.key, ending, 0, "text/plain", detail, 0.0)
+        else:
+            ended = await self._endpoint.run(action)
+        self.exporter.record("run", ended.run_time)
+        self._inbox.put(ended)
+
+    # Announcements
+
+    async def _announce_forever(self) -> None:
+        while True:
+            connected = self.core.list_entries()
+            targets = self._announcements.choose(connected, time.monotonic())
+            await asyncio.gather(*(self._announce_to(each) for each in targets))
+            await asyncio.sleep(self.settings.announce)
+
+    async def _announce_to(self, address: str) -> None:
+        try:
+            async with asyncio.timeout(ANNOUNCE_SECONDS):
+                self._announcements.learn(await self._ask_entries(address))
+        except (OSError, TimeoutError, FrameError, EOFError):
+            self.core.counts.add("announcements_failed")
+            self._announcements.forget(address)
+
+    async def _ask_entries(self, address: str) -> list[str]:
+        host, port = parse_address(address)
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            writer.write(encode(self._greeting))
+            frames = FrameReader()
+            while data := await reader.read(READ_SIZE):
+                for message in frames.feed(data):
+                    if isinstance(message, Peers):
+                        return [str(entry) for entry in message.entries]
+            raise EOFError
+        finally:
+            writer.close()
+
+    # Life
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then finish what runs and return."""
+        http_socket = bind(self.settings.http, "http")
+        stream_socket = bind(self.settings.stream, "stream")
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        owner = asyncio.create_task(self._inbox.run())
+        server = await loop.create_server(
+            self._streams.make_accepted, sock=stream_socket
+        )
+        http = HttpServer(make_app(self), http_socket)
+        await http.start()
+        announcer = asyncio.create_task(self._announce_forever())
+        logging.info("agent %s serves on %s", self.settings.name, self.settings.stream)
+        await self._stopping.wait()
+        logging.info("agent %s drains", self.settings.name)
+        self._inbox.put(StopRequested())
+        await self._drained.wait()
+        announcer.cancel()
+        server.close()
+        await http.stop()
+        self._streams.close_all()
+        owner.cancel()
+        for task in (announcer, owner):
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        if self._endpoint is not None:
+            await self._endpoint.close()
+        logging.info("agent %s stopped", self.settings.name)
--- /dev/null
+++ b/src/godwitbank/_internal/operations/entry.py
@@ -0,0 +1,265 @@
+"""The entry's shell: sockets, table and timers round its core."""
+
+import asyncio
+import contextlib
+import signal
+import time
+import uuid
+from random import Random
+from typing import Any
+
+from absl import logging
+
+from godwitbank._internal.core.agent import Identity, Timing
+from godwitbank._internal.core.entry import EntryCore
+from godwitbank._internal.core.events import (
+    Action,
+    CallerLeft,
+    ClaimsFailed,
+    ClaimsWritten,
+    CloseStream,
+    Dial,
+    DocumentRead,
+    DrainRequested,
+    ReleaseClaims,
+    Reply,
+    Send,
+    Submitted,
+    TableSeen,
+    WriteClaims,
+)
+from godwitbank._internal.exceptions import TableError
+from godwitbank._internal.http.entry import make_app
+from godwitbank._internal.models.messages import PROTOCOL_VERSION, Hello, Message, Role
+from godwitbank._internal.models.outcomes import Failed, Outcome, Ran, Reason
+from godwitbank._internal.models.settings import EntrySettings
+from godwitbank._internal.models.tasks import Submission, TaskSpec
+from godwitbank._internal.network.streams import StreamEvents, StreamTable
+from godwitbank._internal.network.table import Put, TableClient
+from godwitbank._internal.operations.inbox import Inbox
+from godwitbank._internal.operations.metrics import Exporter
+from godwitbank._internal.operations.registry import Registry
+from godwitbank._internal.operations.server import HttpServer, bind
+
+POLL_SECONDS = 2.0
+"""Seconds between reads of the table's head row."""
+
+CLAIM_TTL = 7 * 24 * 3600.0
+"""Seconds a claim is kept; request ids must not be reused later."""
+
+
+class EntryProcess:
+    """One entry."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        seed = settings.seed or uuid.uuid4().int
+        identity = Identity(
+            settings.name, uuid.uuid4().hex, settings.stream, settings.zone
+        )
+        timing = Timing(settings.heartbeat, settings.silence, settings.start_window)
+        self.core = EntryCore(
+            identity, timing, Random(seed), time.monotonic(), settings.balancer
+        )
+        self.exporter = Exporter(self.core.counts)
+        self.table = TableClient(settings.table)
+        self.registry = Registry(self.table, self._deliver_document)
+        self.stopping = asyncio.Event()
+        self.draining = False
+        self._inbox = Inbox(
+            self.core, self._perform, lambda: self.core.next_wakeup, time.monotonic
+        )
+        greeting = Hello(
+            PROTOCOL_VERSION,
+            Role.ENTRY,
+            identity.process,
+            identity.incarnation,
+            identity.address,
+            identity.zone,
+        )
+        events = StreamEvents(self._inbox.put, self.core.counts.add)
+        self._streams = StreamTable(events, greeting)
+        self._callers: dict[str, asyncio.Future[Outcome]] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    # What the HTTP application calls
+
+    async def submit(
+        self, service: str, tasks: tuple[TaskSpec, ...], seconds: float
+    ) -> Outcome:
+        """Hand a submission to the core and wait for its outcome.
+
+        :param seconds: time to the deadline.
+        """
+        submission = uuid.uuid4().hex
+        if self.draining:
+            detail = "this entry is stopping"
+            return Failed(submission, Reason.STOPPING, Ran.NOT_RUN, detail, 0.0)
+        if not self.core.ready:
+            detail = "this entry has not learnt the configuration yet"
+            return Failed(submission, Reason.NOT_READY, Ran.NOT_RUN, detail, 1.0)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Outcome] = loop.create_future()
+        self._callers[submission] = future
+        deadline = time.monotonic() + seconds
+        self._inbox.put(Submitted(Submission(submission, service, tasks, deadline)))
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._inbox.put(CallerLeft(submission))
+            raise
+        finally:
+            self._callers.pop(submission, None)
+
+    def find_deadline(self, service: str, tasks: tuple[TaskSpec, ...]) -> float:
+        """Find the longest deadline the document gives these tasks, in seconds."""
+        held = self.core.catalog.find(service)
+        if held is None:
+            return 1.0
+        classes = held.document.classes
+        known = [
+            classes[task.class_name].deadline_seconds
+            for task in tasks
+            if task.class_name in classes
+        ]
+        return max(known, default=1.0)
+
+    def drain_agent(self, agent: str, operator: str) -> bool:
+        """Ask an agent to leave; returns whether it is connected."""
+        known = any(
+            view.process == agent and view.stream is not None
+            for view in self.core.agents.values()
+        )
+        if known:
+            self._inbox.put(DrainRequested(agent, operator))
+        return known
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self.core.ready and not self.stopping.is_set()
+
+    def _deliver_document(self, service: str, revision: int, text: str) -> None:
+        self._inbox.put(DocumentRead(service, revision, text))
+
+    # Actions
+
+    def _perform(self, actions: list[Action]) -> None:
+        writes: dict[int, list[Message]] = {}
+        for action in actions:
+            if isinstance(action, Send):
+                writes.setdefault(action.stream, []).append(action.message)
+            elif isinstance(action, Reply):
+                self._reply(action.outcome)
+            elif isinstance(action, CloseStream):
+                self._streams.write(action.stream, writes.pop(action.stream, []))
+                self._streams.close(action.stream, action.reason == "silence")
+                logging.info("closed stream %d: %s", action.stream, action.reason)
+            elif isinstance(action, Dial):
+                self._streams.dial(action.address)
+            elif isinstance(action, WriteClaims):
+                self._spawn(self._write_claims(action))
+            elif isinstance(action, ReleaseClaims):
+                self._spawn(self._release_claims(action))
+        for stream, messages in writes.items():
+            self._streams.write(stream, messages)
+
+    def _reply(self, outcome: Outcome) -> None:
+        future = self._callers.get(outcome.submission)
+        if future is not None and not future.done():
+            future.set_result(outcome)
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _write_claims(self, action: WriteClaims) -> None:
+        try:
+            lost = await self._commit_claims(action)
+        except TableError as error:
+            logging.warning("claims not written: %s", error)
+            self._inbox.put(ClaimsFailed(action.batch))
+            return
+        written = {token: key for key, token in action.claims.items()}
+        self._inbox.put(ClaimsWritten(action.batch, lost, written))
+
+    async def _commit_claims(self, action: WriteClaims) -> dict[str, str]:
+        # A transaction is all or nothing, so rows held by others are taken out
+        # and the rest is tried again; a row that already holds our own token is
+        # an earlier try whose answer was lost.
+        lost: dict[str, str] = {}
+        versions = dict.fromkeys(action.claims, 0)
+        while versions:
+            puts = [
+                Put(key=key, version=version, value=action.claims[key])
+                for key, version in versions.items()
+            ]
+            conflict = await self.table.write(puts, CLAIM_TTL)
+            if conflict is None:
+                break
+            for key, row in conflict.rows.items():
+                if row.value == action.claims[key]:
+                    del versions[key]
+                elif row.version == 0:
+                    versions[key] = 0
+                elif row.value == action.supersedes.get(key):
+                    versions[key] = row.version
+                else:
+                    lost[key] = str(row.value)
+                    del versions[key]
+        return lost
+
+    async def _release_claims(self, action: ReleaseClaims) -> None:
+        try:
+            await self.table.delete(action.claims)
+        except TableError as error:
+            logging.warning("claims not released: %s", error)
+
+    async def _poll_table(self) -> None:
+        while True:
+            try:
+                await self.registry.refresh(self.core.catalog.list_revisions())
+                self._inbox.put(TableSeen())
+            except TableError as error:
+                self.core.counts.add("table_reads_failed")
+                logging.debug("table not read: %s", error)
+            await asyncio.sleep(POLL_SECONDS)
+
+    # Life
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain and return."""
+        http_socket = bind(self.settings.http, "http")
+        stream_socket = bind(self.settings.stream, "stream")
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        owner = asyncio.create_task(self._inbox.run())
+        poller = asyncio.create_task(self._poll_table())
+        server = await loop.create_server(
+            self._streams.make_accepted, sock=stream_socket
+        )
+        http = HttpServer(make_app(self), http_socket)
+        await http.start()
+        logging.info("entry %s serves on %s", self.settings.name, self.settings.http)
+        await self.stopping.wait()
+        await self._drain(http)
+        poller.cancel()
+        server.close()
+        self._streams.close_all()
+        owner.cancel()
+        for task in (poller, owner):
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        await self.table.close()
+        logging.info("entry %s stopped", self.settings.name)
+
+    async def _drain(self, http: HttpServer) -> None:
+        # The balancer still sends callers here until it has seen that this
+        # entry is unready; refusing them now would cut requests another entry
+        # could have taken.
+        logging.info("stopping: unready for %.1f s", self.settings.unready_delay)
+        await asyncio.sleep(self.settings.unready_delay)
+        await http.stop()
+        self.draining = True
--- /dev/null
+++ b/src/godwitbank/_internal/operations/registry.py
@@ -0,0 +1,169 @@
+"""Accepted documents in the platform's table.
+
+One row per service holds the document in force, one row named ``head`` the
+highest revision of each service, so that a poll reads a single row. Both change
+in one transaction, with a row of history.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from godwitbank._internal.exceptions import ConflictError, TableError
+from godwitbank._internal.network.table import Put, Row, TableClient
+
+HEAD = "head"
+TRIES = 8
+"""Tries of one apply against a table that loses answers or races."""
+
+RETRY_SECONDS = 0.2
+
+
+class Application(NamedTuple):
+    """An operator's wish to put a document in force.
+
+    :param expected: revision it was made from, or ``None`` for whatever is there.
+    :param operation: unique id of this wish, kept over retries.
+    """
+
+    service: str
+    text: str
+    operator: str
+    operation: str
+    expected: int | None
+
+
+class Registry:
+    """Reads and changes documents in the table."""
+
+    def __init__(
+        self, table: TableClient, deliver: Callable[[str, int, str], None]
+    ) -> None:
+        self._table = table
+        self._deliver = deliver
+
+    async def refresh(self, known: dict[str, int]) -> None:
+        """Read what is newer than ``known`` and deliver it.
+
+        :raises TableError: when the table gives no usable answer.
+        """
+        head = await self._table.read(HEAD)
+        revisions = head.value["services"] if head.value else {}
+        for service, revision in revisions.items():
+            if revision > known.get(service, 0):
+                row = await self._table.read(_name_row(service))
+                if row.value:
+                    value = row.value
+                    self._deliver(service, int(value["revision"]), value["text"])
+
+    async def apply(self, application: Application) -> int:
+        """Commit a document by compare-and-set on its revision.
+
+        A lost answer is settled by reading back: the row names the operation
+        that wrote it. Revisions come from one sequence, so they only rise.
+
+        :return: the revision accepted.
+        :raises ConflictError: when another operator's change came first.
+        :raises TableError: when it can't be learnt whether it was accepted.
+        """
+        doubt: TableError | None = None
+        for _ in range(TRIES):
+            try:
+                if application.expected is None:
+                    application = await self._pin(application)
+                revision = await self._try_apply(application)
+            except TableError as error:
+                doubt = error
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            if revision is not None:
+                return revision
+        raise TableError(
+            "it isn't known whether the document was accepted",
+            context=str(doubt),
+            remedy=f"apply again with --operation {application.operation}",
+        )
+
+    async def _pin(self, application: Application) -> Application:
+        # Without this, a second try would take the winner of a race for the
+        # document its operator meant to replace, and silently undo it.
+        row = await self._table.read(_name_row(application.service))
+        if _find_done(row, application) is not None:
+            return application
+        return application._replace(
+            expected=int(row.value["revision"]) if row.value else 0
+        )
+
+    async def _try_apply(self, application: Application) -> int | None:
+        row = await self._table.read(_name_row(application.service))
+        done = _find_done(row, application)
+        if done is None and row.value:
+            history = _name_history(application.service, application.operation)
+            earlier = await self._table.read(history)
+            done = int(earlier.value["revision"]) if earlier.value else None
+        if done is not None:
+            return done
+        current = int(row.value["revision"]) if row.value else 0
+        if application.expected is not None and application.expected != current:
+            raise _make_conflict(row, application)
+        head = await self._table.read(HEAD)
+        sequence = int(head.value["sequence"]) if head.value else 0
+        services = dict(head.value["services"]) if head.value else {}
+        revision = max(sequence, current) + 1
+        services[application.service] = revision
+        conflict = await self._table.write(
+            _make_puts(application, revision, services, row, head)
+        )
+        if conflict is None:
+            self._deliver(application.service, revision, application.text)
+            return revision
+        return None
+
+
+def _name_row(service: str) -> str:
+    return f"document/{service}"
+
+
+def _name_history(service: str, operation: str) -> str:
+    return f"history/{service}/{operation}"
+
+
+def _find_done(row: Row, application: Application) -> int | None:
+    if row.value and row.value["operation"] == application.operation:
+        return int(row.value["revision"])
+    return None
+
+
+def _make_puts(
+    application: Application,
+    revision: int,
+    services: dict[str, int],
+    row: Row,
+    head: Row,
+) -> list[Put]:
+    value = {
+        "revision": revision,
+        "text": application.text,
+        "operator": application.operator,
+        "operation": application.operation,
+    }
+    history = _name_history(application.service, application.operation)
+    return [
+        Put(key=row.key, version=row.version, value=value),
+        Put(key=history, version=0, value=value),
+        Put(
+            key=HEAD,
+            version=head.version,
+            value={"sequence": revision, "services": services},
+        ),
+    ]
+
+
+def _make_conflict(row: Row, application: Application) -> ConflictError:
+    value = row.value or {"revision": 0, "operator": "nobody"}
+    return ConflictError(
+        f"service {application.service!r} is at revision {value['revision']},"
+        f" not {application.expected}",
+        context=f"changed by operator {value['operator']!r}",
+        remedy="run 'godwitbank diff', merge, and apply again",
+    )
--- /dev/null
+++ b/src/godwitbank/_internal/operations/server.py
@@ -0,0 +1,81 @@
+"""Serving an HTTP application beside other tasks of a process."""
+
+import asyncio
+import errno
+import socket
+from typing import Any
+
+import uvicorn
+
+from godwitbank._internal.exceptions import AddressInUseError
+from godwitbank._internal.models.settings import parse_address
+
+BACKLOG = 1024
+
+
+def bind(address: str, setting: str) -> socket.socket:
+    """Bind a listening socket.
+
+    :raises AddressInUseError: naming the address and the setting.
+    """
+    host, port = parse_address(address)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+    except OSError as error:
+        listener.close()
+        reason = "is in use" if error.errno == errno.EADDRINUSE else "can't be used"
+        raise AddressInUseError(
+            f"address {address} {reason}",
+            context=f"setting '{setting}': {error.strerror}",
+            remedy="stop the other process or set another address",
+        ) from None
+    listener.listen(BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+class HttpServer:
+    """A uvicorn server that leaves signals to its owner."""
+
+    def __init__(self, app: Any, listener: socket.socket) -> None:
+        config = uvicorn.Config(
+            app,
+            http="httptools",
+            loop="asyncio",
+            log_level="warning",
+            access_log=False,
+            lifespan="off",
+            timeout_keep_alive=75,
+            h11_max_incomplete_event_size=64 * 1024,
+        )
+        self._server = uvicorn.Server(config)
+        self._server.capture_signals = _leave_signals  # type: ignore
+        self._listener = listener
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to accept connections."""
+        serving = self._server.serve(sockets=[self._listener])
+        self._task = asyncio.create_task(serving)
+        while not self._server.started and not self._task.done():
+            await asyncio.sleep(0)
+
+    async def stop(self) -> None:
+        """Stop accepting, and wait for requests in flight."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+
+class _NoSignals:
+    def __enter__(self) -> None:
+        return None
+
+    def __exit__(self, *details: object) -> None:
+        return None
+
+
+def _leave_signals() -> _NoSignals:
+    return _NoSignals()
--- /dev/null
+++ b/src/godwitbank/_internal/operations/status.py
@@ -0,0 +1,57 @@
+"""What an entry tells an operator about itself and what it knows."""
+
+import time
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from godwitbank._internal.operations.entry import EntryProcess
+
+
+def describe_entry(process: "EntryProcess") -> dict[str, Any]:
+    """Describe an entry, its peers, agents and services."""
+    core = process.core
+    now = time.monotonic()
+    agents = [
+        {
+            "agent": view.process,
+            "address": view.address,
+            "zone": view.zone,
+            "service": view.service,
+            "connected": view.stream is not None,
+            "leaving": view.leaving,
+            "slots": view.slots,
+            "free": view.free,
+            "outstanding": len(view.outstanding),
+            "ejected": now < view.ejected_until,
+            "revisions": view.revisions,
+        }
+        for view in core.agents.values()
+    ]
+    peers = [
+        {
+            "entry": peer.process,
+            "address": peer.address,
+            "connected": peer.stream is not None,
+            "revisions": peer.revisions,
+        }
+        for peer in core.peers.values()
+    ]
+    services = [
+        {
+            "service": name,
+            "waiting": service.queue.waiting,
+            "backlog_seconds": round(service.queue.measure_backlog(), 3),
+            "slots": service.pool.count_slots(now),
+        }
+        for name, service in core.dispatcher.services.items()
+    ]
+    return {
+        "entry": core.identity.process,
+        "zone": core.identity.zone,
+        "ready": process.ready,
+        "jobs": len(core.dispatcher.jobs),
+        "revisions": core.catalog.list_revisions(),
+        "agents": agents,
+        "entries": peers,
+        "services": services,
+    }
--- /dev/null
+++ b/src/godwitbank/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a better home."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what stands outside the project; never shipped."""
--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,178 @@
+"""An example endpoint whose run times and faults are set by the request.
+
+The payload may hold ``run_ms``, ``fail`` (answer 500), ``short`` (cut the answer
+short), ``nonce`` (returned). It writes down every start and counts those of one
+task or one idempotency key that started twice; ``GET /record`` shows them.
+``PUT /control`` makes it fail everything, or multiply its run times.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import signal
+import uuid
+from collections import Counter
+
+import httpx
+
+LEASE_SECONDS = 3.0
+RENEW_SECONDS = 1.0
+
+
+class Endpoint:
+    """State of one endpoint."""
+
+    def __init__(self, service: str, slots: int) -> None:
+        self.service = service
+        self.slots = slots
+        self.instance = uuid.uuid4().hex
+        self.tasks: Counter[str] = Counter()
+        self.keys: Counter[str] = Counter()
+        self.running = 0
+        self.peak = 0
+        self.finished = 0
+        self.control = {"fail": False, "factor": 1.0}
+
+    async def run(self, headers: dict[str, str], payload: dict) -> tuple[int, dict]:
+        """Run one task."""
+        self.tasks[headers.get("godwitbank-task", "")] += 1
+        if "idempotency-key" in headers:
+            self.keys[headers["idempotency-key"]] += 1
+        if self.control["fail"] or payload.get("fail"):
+            return 500, {"error": "told to fail"}
+        self.running += 1
+        self.peak = max(self.peak, self.running)
+        try:
+            seconds = payload.get("run_ms", 50) / 1000
+            await asyncio.sleep(seconds * self.control["factor"])
+        finally:
+            self.running -= 1
+        self.finished += 1
+        return 200, {"nonce": payload.get("nonce"), "by": self.instance}
+
+    def describe(self) -> dict:
+        """Show what was started."""
+        return {
+            "tasks": dict(self.tasks),
+            "keys": dict(self.keys),
+            "peak": self.peak,
+            "running": self.running,
+            "finished": self.finished,
+        }
+
+
+class Connection(asyncio.Protocol):
+    """One HTTP/1.1 connection; just enough of the protocol for an agent."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.buffer = b""
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Serve each complete request."""
+        self.buffer += data
+        head, separator, rest = self.buffer.partition(b"\r\n\r\n")
+        if not separator:
+            return
+        lines = head.decode("latin-1").split("\r\n")
+        headers = {}
+        for line in lines[1:]:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        length = int(headers.get("content-length", 0))
+        if len(rest) < length:
+            return
+        self.buffer = rest[length:]
+        method, path, _ = lines[0].split(" ")
+        serving = self.serve(method, path, headers, rest[:length])
+        self.task = asyncio.ensure_future(serving)
+
+    async def serve(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Answer one request."""
+        short = False
+        if path == "/run":
+            payload = json.loads(body or b"null") or {}
+            short = bool(payload.get("short"))
+            status, answer = await self.endpoint.run(headers, payload)
+        elif path == "/control" and method == "PUT":
+            self.endpoint.control.update(json.loads(body))
+            status, answer = 200, self.endpoint.control
+        else:
+            status, answer = 200, self.endpoint.describe()
+        text = json.dumps(answer).encode()
+        length = len(text) + (100 if short else 0)
+        if self.transport is None:
+            return
+        self.transport.write(
+            f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {length}\r\n\r\n".encode()
+            + text
+        )
+        if short:
+            self.transport.close()
+
+
+async def renew(endpoint: Endpoint, agent: str, port: int) -> None:
+    """Announce the endpoint to its agent and renew for ever."""
+    body = {
+        "service": endpoint.service,
+        "url": f"http://127.0.0.1:{port}",
+        "slots": endpoint.slots,
+        "connections": 64,
+        "lease_seconds": LEASE_SECONDS,
+        "instance": endpoint.instance,
+    }
+    async with httpx.AsyncClient(base_url=f"http://{agent}", timeout=1.0) as client:
+        while True:
+            wait = RENEW_SECONDS
+            try:
+                await client.put("/v1/endpoint", json=body)
+            except httpx.HTTPError:
+                wait = 0.1
+            await asyncio.sleep(wait)
+
+
+async def leave(agent: str) -> None:
+    """Tell the agent, and wait until nothing runs."""
+    async with httpx.AsyncClient(base_url=f"http://{agent}", timeout=1.0) as client:
+        with contextlib.suppress(httpx.HTTPError):
+            state = (await client.delete("/v1/endpoint")).json()
+            while state["running"]:
+                await asyncio.sleep(0.05)
+                state = (await client.get("/v1/endpoint")).json()
+
+
+async def serve() -> None:
+    """Serve until SIGTERM, then leave gracefully."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("port", type=int)
+    parser.add_argument("agent")
+    parser.add_argument("--service", default="desk")
+    parser.add_argument("--slots", type=int, default=8)
+    arguments = parser.parse_args()
+    endpoint = Endpoint(arguments.service, arguments.slots)
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: Connection(endpoint), "127.0.0.1", arguments.port
+    )
+    stopping = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    renewing = asyncio.create_task(renew(endpoint, arguments.agent, arguments.port))
+    await stopping.wait()
+    renewing.cancel()
+    await leave(arguments.agent)
+    server.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve())
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,338 @@
+"""Starts a small deployment of real processes on loopback.
+
+Used by the demonstration, the tests and the benchmarks. Ends every process it
+started, by its pid.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import httpx
+
+ROOT = Path(__file__).parent.parent
+WAIT_SECONDS = 30.0
+POLL_SECONDS = 0.02
+_next_port = [0]
+
+
+def pick_port() -> int:
+    """Pick a free port below the range that outgoing connections use.
+
+    A port from the ephemeral range could be taken by somebody's outgoing
+    connection between this look and the process's own bind.
+    """
+    if not _next_port[0]:
+        _next_port[0] = 10_000 + (os.getpid() * 97) % 20_000
+    while True:
+        _next_port[0] = 10_000 + (_next_port[0] + 1 - 10_000) % 22_000
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", _next_port[0])) == 0:
+                continue
+            try:
+                probe.close()
+                with socket.socket() as holder:
+                    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    holder.bind(("127.0.0.1", _next_port[0]))
+                return _next_port[0]
+            except OSError:
+                continue
+
+
+class Running(NamedTuple):
+    """A started process and where it listens."""
+
+    name: str
+    process: subprocess.Popen
+    http: int
+    stream: int
+
+    def kill(self) -> None:
+        """Kill without notice."""
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self) -> None:
+        """Ask to stop; returns at once."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def freeze(self) -> None:
+        """Stop the process from running."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it run again."""
+        self.process.send_signal(signal.SIGCONT)
+
+
+def wait_for(check: Callable[[], Any], what: str, seconds: float = WAIT_SECONDS) -> Any:
+    """Poll until ``check`` gives something true."""
+    until = time.monotonic() + seconds
+    while True:
+        try:
+            found = check()
+        except httpx.HTTPError:
+            found = None
+        if found:
+            return found
+        if time.monotonic() > until:
+            raise AssertionError(f"waited {seconds} s in vain for {what}")
+        time.sleep(POLL_SECONDS)
+
+
+class Fleet:
+    """Entries, agents, endpoints, proxies and the platform."""
+
+    def __init__(
+        self, folder: Path, heartbeat: float = 0.5, delay: float = 0.0
+    ) -> None:
+        self.folder = folder
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.heartbeat = heartbeat
+        self.delay = delay
+        self.entries: list[Running] = []
+        self.agents: list[Running] = []
+        self.endpoints: list[Running] = []
+        self.proxies: dict[int, int] = {}
+        self._all: list[subprocess.Popen] = []
+        self._logs: list[Any] = []
+        self.platform = self._start_platform()
+        self.balancer_http = pick_port()
+        self.balancer_stream = pick_port()
+        self._balancer: Running | None = None
+
+    # Processes
+
+    def _run(self, name: str, *command: str) -> subprocess.Popen:
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        self._logs.append(log)
+        process = subprocess.Popen(
+            [sys.executable, *command], stdout=log, stderr=log, cwd=ROOT
+        )
+        self._all.append(process)
+        return process
+
+    def _start_platform(self) -> Running:
+        port = pick_port()
+        process = self._run("platform", "-m", "standins.platform", str(port))
+        running = Running("platform", process, port, 0)
+        url = f"http://127.0.0.1:{port}/control"
+        wait_for(lambda: httpx.get(url).is_success, "the platform")
+        return running
+
+    def proxy(self, *targets: int, delay: float = 0.0) -> int:
+        """Start a fault proxy to some ports; returns its own port."""
+        control, port = pick_port(), pick_port()
+        joined = ",".join(str(target) for target in targets)
+        command = ("-m", "standins.proxy", str(control), f"{port}={joined}")
+        self._run(f"proxy-{port}", *command)
+        self.proxies[port] = control
+        wait_for(lambda: is_listening(control), "the proxy")
+        if delay:
+            self.control(port, delay=delay)
+        return port
+
+    def control(self, port: int, **command: Any) -> None:
+        """Tell a proxy which fault to inject."""
+        line = json.dumps({"listen": port, **command}).encode() + b"\n"
+        with socket.create_connection(("127.0.0.1", self.proxies[port])) as link:
+            link.sendall(line)
+            link.recv(16)
+
+    def control_platform(self, **knobs: Any) -> None:
+        """Set the platform's knobs of failure."""
+        url = f"http://127.0.0.1:{self.platform.http}/control"
+        httpx.put(url, json=knobs, timeout=10).raise_for_status()
+
+    def balance(self) -> None:
+        """Point the balancer at the entries there are now."""
+        http = ",".join(str(entry.http) for entry in self.entries)
+        stream = ",".join(str(entry.stream) for entry in self.entries)
+        if self._balancer is not None:
+            self.control(self.balancer_http, targets=http.split(","))
+            self.control(self.balancer_stream, targets=stream.split(","))
+            return
+        control = pick_port()
+        routes = (f"{self.balancer_http}={http}", f"{self.balancer_stream}={stream}")
+        process = self._run("balancer", "-m", "standins.proxy", str(control), *routes)
+        self._balancer = Running("balancer", process, self.balancer_http, 0)
+        self.proxies[self.balancer_http] = control
+        self.proxies[self.balancer_stream] = control
+        wait_for(lambda: is_listening(control), "the balancer")
+
+    def start_entry(self, zone: str = "a", wait: bool = True, **more: Any) -> Running:
+        """Start one entry."""
+        number = len(self.entries)
+        name = f"entry-{number}-{time.monotonic_ns() % 100000}"
+        http, stream = pick_port(), pick_port()
+        settings = {
+            "name": name,
+            "zone": zone,
+            "http": f"127.0.0.1:{http}",
+            "stream": f"127.0.0.1:{stream}",
+            "balancer": f"127.0.0.1:{self.balancer_stream}",
+            "table": f"http://127.0.0.1:{self.platform.http}",
+            "heartbeat": self.heartbeat,
+            "unready_delay": 0.5,
+            **more,
+        }
+        running = Running(name, self._daemon("entry", name, settings), http, stream)
+        self.entries.append(running)
+        if wait:
+            self.await_ready(running)
+        return running
+
+    def await_ready(self, entry: Running) -> None:
+        """Wait until an entry serves."""
+        url = f"http://127.0.0.1:{entry.http}/v1/ready"
+        wait_for(lambda: httpx.get(url).is_success, f"{entry.name} to be ready")
+
+    def start_agent(
+        self, zone: str = "a", proxied: bool = False, port: int = 0, **more: Any
+    ) -> Running:
+        """Start one agent; ``proxied`` puts a fault proxy before its stream port."""
+        name = f"agent-{len(self.agents)}"
+        http, stream = pick_port(), port or pick_port()
+        settings = {
+            "name": name,
+            "zone": zone,
+            "http": f"127.0.0.1:{http}",
+            "stream": f"127.0.0.1:{stream}",
+            "balancer": f"127.0.0.1:{self.balancer_stream}",
+            "heartbeat": self.heartbeat,
+            "announce": 0.3,
+            **more,
+        }
+        if proxied:
+            settings["advertised"] = f"127.0.0.1:{self.proxy(stream, delay=self.delay)}"
+        running = Running(name, self._daemon("agent", name, settings), http, stream)
+        self.agents.append(running)
+        wait_for(lambda: is_listening(http), f"{name} to listen")
+        return running
+
+    def advertised(self, agent: Running) -> int:
+        """Port of the proxy before an agent."""
+        text = (self.folder / f"{agent.name}.toml").read_text()
+        line = next(each for each in text.splitlines() if "advertised" in each)
+        return int(line.rstrip('"').rpartition(":")[2])
+
+    def _daemon(self, role: str, name: str, settings: dict[str, Any]) -> Any:
+        path = self.folder / f"{name}.toml"
+        path.write_text(render_toml(settings))
+        code = (
+            f"from godwitbank._internal.cli.entrypoints import run_{role}; run_{role}()"
+        )
+        return self._run(name, "-c", code, f"--settings={path}", "--log_format=json")
+
+    def restart_agent(self, agent: Running) -> Running:
+        """Start an agent again with its old settings and address."""
+        path = self.folder / f"{agent.name}.toml"
+        code = "from godwitbank._internal.cli.entrypoints import run_agent; run_agent()"
+        process = self._run(agent.name, "-c", code, f"--settings={path}")
+        running = agent._replace(process=process)
+        self.agents[self.agents.index(agent)] = running
+        wait_for(lambda: is_listening(agent.http), f"{agent.name} to listen")
+        return running
+
+    def start_endpoint(
+        self, agent: Running, service: str = "desk", slots: int = 8
+    ) -> Running:
+        """Start the endpoint beside an agent."""
+        port = pick_port()
+        name = f"endpoint-{len(self.endpoints)}"
+        process = self._run(
+            name,
+            "-m",
+            "standins.endpoint",
+            str(port),
+            f"127.0.0.1:{agent.http}",
+            f"--service={service}",
+            f"--slots={slots}",
+        )
+        running = Running(name, process, port, 0)
+        self.endpoints.append(running)
+        wait_for(lambda: is_listening(port), f"{name} to listen")
+        return running
+
+    # Use
+
+    def operate(self, *arguments: str, entry: int = 0) -> subprocess.CompletedProcess:
+        """Run an operator's command against an entry."""
+        code = (
+            "from godwitbank._internal.cli.entrypoints import run_operator;"
+            "run_operator()"
+        )
+        address = f"--entry=127.0.0.1:{self.entries[entry].http}"
+        return subprocess.run(
+            [sys.executable, "-c", code, *arguments, address, "--verbosity=warning"],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            cwd=ROOT,
+        )
+
+    def status(self, entry: int = 0) -> dict[str, Any]:
+        """Read an entry's status."""
+        url = f"http://127.0.0.1:{self.entries[entry].http}/v1/status"
+        state: dict[str, Any] = httpx.get(url, timeout=10).json()
+        return state
+
+    def record(self, endpoint: Running) -> dict[str, Any]:
+        """Read what an endpoint wrote down."""
+        url = f"http://127.0.0.1:{endpoint.http}/record"
+        written: dict[str, Any] = httpx.get(url, timeout=10).json()
+        return written
+
+    def control_endpoint(self, endpoint: Running, **knobs: Any) -> None:
+        """Make an endpoint fail or crawl."""
+        url = f"http://127.0.0.1:{endpoint.http}/control"
+        httpx.put(url, json=knobs, timeout=10).raise_for_status()
+
+    def await_agents(self, count: int, service: str = "desk") -> None:
+        """Wait until every entry can use so many agents of a service."""
+        for number in range(len(self.entries)):
+            wait_for(
+                lambda: self._count_usable(number, service) >= count,  # noqa: B023
+                f"{count} agents at entry {number}",
+            )
+
+    def _count_usable(self, number: int, service: str) -> int:
+        agents = self.status(number)["agents"]
+        return sum(
+            each["connected"] and each["service"] == service and not each["leaving"]
+            for each in agents
+        )
+
+    def stop(self) -> None:
+        """End every process, by pid, gently first."""
+        alive = [process for process in self._all if process.poll() is None]
+        for process in alive:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        until = time.monotonic() + 5
+        for process in alive:
+            try:
+                process.wait(max(0.05, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        for log in self._logs:
+            log.close()
+
+
+def is_listening(port: int) -> bool:
+    """Tell whether something accepts connections on a port."""
+    with socket.socket() as probe:
+        return probe.connect_ex(("127.0.0.1", port)) == 0
+
+
+def render_toml(settings: dict[str, Any]) -> str:
+    """Render flat settings as TOML."""
+    return "".join(f"{key} = {json.dumps(value)}\n" for key, value in settings.items())
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,126 @@
+"""A stand-in for the platform's table and object store.
+
+Rows have versions; a transaction commits if every row is at the version given.
+``PUT /control`` makes it slow, takes it down, makes it lose the answers of
+writes that took effect, or serve reads of an older state.
+"""
+
+import asyncio
+import copy
+import sys
+from typing import Any
+
+import uvicorn
+from litestar import Litestar, Response, get, post, put
+
+WRITE_SECONDS = 0.005
+READ_SECONDS = 0.0005
+
+
+class Store:
+    """Rows, objects and the knobs of failure."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, dict[str, Any]] = {}
+        self.old_rows: dict[str, dict[str, Any]] | None = None
+        self.objects: dict[str, bytes] = {}
+        self.writes = 0
+        self.reads = 0
+        self.control: dict[str, Any] = {
+            "down": False,
+            "slow_seconds": 0.0,
+            "lose_answers": 0,
+            "stale_reads": False,
+        }
+
+    def read(self, key: str) -> dict[str, Any]:
+        """Read a row, perhaps of an older state."""
+        rows = self.rows if self.old_rows is None else self.old_rows
+        return rows.get(key, {"key": key, "version": 0, "value": None})
+
+    def commit(self, puts: list[dict[str, Any]]) -> list[dict[str, Any]]:
+        """Commit all or none; returns the rows in conflict."""
+        empty = {"version": 0, "value": None}
+        conflicts = [
+            {**empty, **self.rows.get(each["key"], {}), "key": each["key"]}
+            for each in puts
+            if self.rows.get(each["key"], empty)["version"] != each["version"]
+        ]
+        if not conflicts:
+            for each in puts:
+                version = each["version"] + 1
+                row = {"key": each["key"], "version": version, "value": each["value"]}
+                self.rows[each["key"]] = row
+        return conflicts
+
+
+def make_app(store: Store) -> Litestar:
+    """Make the HTTP application."""
+
+    def lose() -> bool:
+        if store.control["lose_answers"] > 0:
+            store.control["lose_answers"] -= 1
+            return True
+        return False
+
+    async def delay(seconds: float) -> Response | None:
+        await asyncio.sleep(seconds + store.control["slow_seconds"])
+        if store.control["down"]:
+            return Response({"detail": "down"}, status_code=503)
+        return None
+
+    @get("/v1/rows/{key:path}")
+    async def read_row(key: str) -> Response:
+        store.reads += 1
+        failed = await delay(READ_SECONDS)
+        return failed or Response(store.read(key.lstrip("/")))
+
+    @post("/v1/transactions", status_code=200)
+    async def commit(data: dict[str, Any]) -> Response:
+        store.writes += 1
+        failed = await delay(WRITE_SECONDS)
+        if failed:
+            return failed
+        conflicts = store.commit(data["puts"])
+        if lose():
+            return Response({"detail": "answer lost"}, status_code=504)
+        return Response({"committed": not conflicts, "conflicts": conflicts})
+
+    @post("/v1/deletions", status_code=200)
+    async def delete(data: dict[str, Any]) -> Response:
+        store.writes += 1
+        failed = await delay(WRITE_SECONDS)
+        if failed:
+            return failed
+        for key, value in data["deletes"].items():
+            if store.rows.get(key, {}).get("value") == value:
+                del store.rows[key]
+        return Response({"committed": True})
+
+    @put("/control")
+    async def control(data: dict[str, Any]) -> dict[str, Any]:
+        store.control.update(data)
+        if data.get("stale_reads"):
+            store.old_rows = copy.deepcopy(store.rows)
+        elif "stale_reads" in data:
+            store.old_rows = None
+        return store.control
+
+    @get("/control")
+    async def show() -> dict[str, Any]:
+        counts = {"reads": store.reads, "writes": store.writes}
+        return {**store.control, **counts, "rows": len(store.rows)}
+
+    return Litestar(
+        route_handlers=[read_row, commit, delete, control, show], openapi_config=None
+    )
+
+
+def main() -> None:
+    """Serve on the port given."""
+    app = make_app(Store())
+    uvicorn.run(app, host="127.0.0.1", port=int(sys.argv[1]), log_level="warning")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,210 @@
+"""A fault-injecting TCP proxy, also used as the platform's balancer.
+
+``python -m standins.proxy CONTROL LISTEN=TARGET[,TARGET...] ...`` forwards each
+listening port to its targets in turn. Commands come as JSON lines on the control
+port: ``{"listen": 9000, "delay": 0.003, "freeze": "to_target", "cut": true}``.
+
+* ``delay``: seconds added each way.
+* ``freeze``: ``none``, ``to_target``, ``to_client`` or ``both``; bytes of the
+  connections open now are held for good, new connections work.
+* ``cut``: close the connections open now.
+* ``refuse``: close new connections at once.
+* ``drop``: bytes to swallow from the next data towards the target.
+* ``repeat``: send the next data towards the target twice.
+* ``targets``: replace the targets.
+"""
+
+import asyncio
+import itertools
+import json
+import sys
+from typing import Any
+
+
+class Pipe(asyncio.Protocol):
+    """One side of a forwarded connection."""
+
+    def __init__(self, link: "Link", towards: str) -> None:
+        self.link = link
+        self.towards = towards
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Forward, after the faults have had their turn."""
+        self.link.forward(self.towards, data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Close the other side too."""
+        del exc
+        self.link.end(self.towards)
+
+
+class Link:
+    """A client's connection and the one to its target."""
+
+    def __init__(self, route: "Route") -> None:
+        self.route = route
+        self.frozen = {"to_target": False, "to_client": False}
+        self.waiting: list[bytes] = []
+        self.ends: dict[str, asyncio.Transport | None] = {
+            "to_target": None,
+            "to_client": None,
+        }
+
+    def forward(self, towards: str, data: bytes) -> None:
+        """Pass bytes on."""
+        if self.frozen[towards]:
+            return
+        if towards == "to_target":
+            data = self.route.spoil(data)
+        if self.route.delay:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.route.delay, self.write, towards, data)
+        else:
+            self.write(towards, data)
+
+    def write(self, towards: str, data: bytes) -> None:
+        """Write bytes to an end, or keep them until it is connected."""
+        end = self.ends[towards]
+        if end is not None:
+            end.write(data)
+        elif towards == "to_target":
+            self.waiting.append(data)
+
+    def end(self, towards: str) -> None:
+        """One side ended: end the other, unless that would break the silence."""
+        if any(self.frozen.values()):
+            return
+        other = self.ends[towards]
+        if other is not None:
+            if self.route.delay:
+                asyncio.get_running_loop().call_later(self.route.delay, other.close)
+            else:
+                other.close()
+        self.route.links.discard(self)
+
+    def cut(self) -> None:
+        """Close both ends."""
+        for end in self.ends.values():
+            if end is not None:
+                end.abort()
+
+
+class Route:
+    """A listening port and its targets."""
+
+    def __init__(self, port: int, targets: list[tuple[str, int]]) -> None:
+        self.port = port
+        self.targets = targets
+        self.turn = itertools.count()
+        self.links: set[Link] = set()
+        self.delay = 0.0
+        self.refuse = False
+        self.drop = 0
+        self.repeat = False
+
+    def spoil(self, data: bytes) -> bytes:
+        """Drop or repeat bytes if told to."""
+        dropped, self.drop = min(self.drop, len(data)), max(0, self.drop - len(data))
+        data = data[dropped:]
+        if self.repeat and data:
+            self.repeat = False
+            data += data
+        return data
+
+    def accept(self) -> Pipe:
+        """Make the client's side of a new connection."""
+        link = Link(self)
+        return ClientPipe(link, "to_target")
+
+    async def connect(self, link: Link, client: asyncio.Transport) -> None:
+        """Connect to the next target that accepts."""
+        link.ends["to_client"] = client
+        if self.refuse:
+            client.abort()
+            return
+        self.links.add(link)
+        loop = asyncio.get_running_loop()
+        for _ in range(len(self.targets)):
+            host, port = self.targets[next(self.turn) % len(self.targets)]
+            try:
+                transport, _ = await loop.create_connection(
+                    lambda: Pipe(link, "to_client"), host, port
+                )
+            except OSError:
+                continue
+            link.ends["to_target"] = transport
+            for data in link.waiting:
+                transport.write(data)
+            return
+        client.abort()
+
+    def control(self, command: dict[str, Any]) -> None:
+        """Obey a command."""
+        for name in ("delay", "refuse", "drop", "repeat"):
+            if name in command:
+                setattr(self, name, command[name])
+        if "targets" in command:
+            self.targets = [parse(each) for each in command["targets"]]
+        if "freeze" in command:
+            for link in self.links:
+                for way in link.frozen:
+                    link.frozen[way] = command["freeze"] in (way, "both")
+        if command.get("cut"):
+            for link in list(self.links):
+                link.cut()
+            self.links.clear()
+
+
+class ClientPipe(Pipe):
+    """The client's side; connects the other one."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Connect to a target."""
+        super().connection_made(transport)
+        assert self.transport is not None
+        self.connecting = asyncio.ensure_future(
+            self.link.route.connect(self.link, self.transport)
+        )
+
+
+def parse(address: str) -> tuple[str, int]:
+    """Split ``host:port`` or a bare port."""
+    host, _, port = address.rpartition(":")
+    return host or "127.0.0.1", int(port)
+
+
+async def serve(control_port: int, routes: list[Route]) -> None:
+    """Forward until killed."""
+    by_port = {route.port: route for route in routes}
+    loop = asyncio.get_running_loop()
+    for route in routes:
+        await loop.create_server(route.accept, "127.0.0.1", route.port)
+
+    async def obey(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while line := await reader.readline():
+            command = json.loads(line)
+            by_port[command["listen"]].control(command)
+            writer.write(b"{}\n")
+        writer.close()
+
+    server = await asyncio.start_server(obey, "127.0.0.1", control_port)
+    await server.serve_forever()
+
+
+def main() -> None:
+    """Read the command line and serve."""
+    routes = []
+    for argument in sys.argv[2:]:
+        port, _, targets = argument.partition("=")
+        routes.append(Route(int(port), [parse(each) for each in targets.split(",")]))
+    asyncio.run(serve(int(sys.argv[1]), routes))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; folders mirror the package."""
--- /dev/null
+++ b/tests/failures/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes under failure."""
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests."""
--- /dev/null
+++ b/tests/lib/scenes.py
@@ -0,0 +1,119 @@
+"""Common beginnings of the tests with real processes."""
+
+import concurrent.futures
+import threading
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import httpx
+from standins.fleet import Fleet, Running, wait_for
+
+DEMO = Path(__file__).parent.parent.parent / "demo"
+Answer = concurrent.futures.Future
+
+
+def start_desk(
+    fleet: Fleet,
+    entries: int = 1,
+    agents: int = 1,
+    proxied: bool = False,
+    slots: int = 8,
+    **entry_settings: Any,
+) -> None:
+    """Start entries, agents and endpoints with the desk's document in force."""
+    for _ in range(entries):
+        fleet.start_entry(wait=False, **entry_settings)
+    fleet.balance()
+    for entry in fleet.entries:
+        fleet.await_ready(entry)
+    applied = fleet.operate("apply", str(DEMO / "desk.toml"))
+    assert applied.returncode == 0, applied.stderr
+    for _ in range(agents):
+        agent = fleet.start_agent(proxied=proxied)
+        fleet.start_endpoint(agent, slots=slots)
+    fleet.await_agents(agents)
+
+
+def base_url(entry: Running) -> str:
+    """Make the base URL of an entry."""
+    return f"http://127.0.0.1:{entry.http}"
+
+
+def send_request(
+    entry: Running, payload: dict[str, Any], kind: str = "size-change", key: str = ""
+) -> httpx.Response:
+    """Send a single request and wait for the answer."""
+    headers = {"Idempotency-Key": key} if key else {}
+    body = {"class": kind, "payload": payload}
+    url = f"{base_url(entry)}/v1/services/desk/requests"
+    return httpx.post(url, json=body, headers=headers, timeout=60)
+
+
+def make_job(count: int, kind: str = "size-change", **payload: Any) -> dict[str, Any]:
+    """Make a job whose tasks each carry their own nonce."""
+    tasks = [
+        {
+            "id": f"t{number}",
+            "class": kind,
+            "payload": {"nonce": f"n{number}", **payload},
+        }
+        for number in range(count)
+    ]
+    return {"tasks": tasks}
+
+
+def send_job(entry: Running, job: dict[str, Any]) -> httpx.Response:
+    """Send a job and wait for the answer."""
+    url = f"{base_url(entry)}/v1/services/desk/jobs"
+    return httpx.post(url, json=job, timeout=60)
+
+
+def in_background(function: Any, *arguments: Any, **named: Any) -> Answer:
+    """Run a call in a thread and hand back its future."""
+    future: Answer = Answer()
+
+    def work() -> None:
+        try:
+            future.set_result(function(*arguments, **named))
+        except BaseException as error:  # noqa: BLE001
+            future.set_exception(error)
+
+    threading.Thread(target=work, daemon=True).start()
+    return future
+
+
+def count_starts(fleet: Fleet) -> Counter[str]:
+    """Count starts by task over all endpoints that still answer."""
+    starts: Counter[str] = Counter()
+    for endpoint in fleet.endpoints:
+        if endpoint.process.poll() is None:
+            starts.update(fleet.record(endpoint)["tasks"])
+    return starts
+
+
+def count_keys(fleet: Fleet) -> Counter[str]:
+    """Count starts by idempotency key over all endpoints that still answer."""
+    keys: Counter[str] = Counter()
+    for endpoint in fleet.endpoints:
+        if endpoint.process.poll() is None:
+            keys.update(fleet.record(endpoint)["keys"])
+    return keys
+
+
+def await_running(fleet: Fleet, count: int) -> None:
+    """Wait until endpoints run so many tasks at once."""
+    wait_for(
+        lambda: sum(fleet.record(each)["running"] for each in fleet.endpoints) >= count,
+        f"{count} running tasks",
+    )
+
+
+def read_counter(entry: Running, name: str, reason: str = "") -> float:
+    """Read one counter of a process."""
+    text = httpx.get(f"{base_url(entry)}/metrics", timeout=10).text
+    wanted = f'godwitbank_{name}_total{{reason="{reason}"}}'
+    for line in text.splitlines():
+        if line.startswith(wanted):
+            return float(line.split()[-1])
+    return 0.0
--- /dev/null
+++ b/tests/network/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of streams and clients."""
