Prove what must hold with real processes, and explore the cores together

A repeated request was answered 'duplicate' instead of with the first answer, and one that still ran got no Retry-After: the start carried the claim's key as request id while the question to agents carried the caller's id, so no agent ever remembered it. An id with a slash would also have reached the endpoint cut short.

Ruled out: the agents' memory itself (it held the request under the other name).

Change: starts carry the caller's id.

--- a/src/godwitbank/_internal/core/dispatch.py
+++ b/src/godwitbank/_internal/core/dispatch.py
@@ -263,9 +263,7 @@
         view.note_sent()
         task.job.started += 1
         self._counts.add("starts_sent")
-        request_id = ""
-        if not table.idempotent:
-            request_id = make_claim_key(task.job.service, task.spec.request_id)
+        request_id = "" if table.idempotent else task.spec.request_id
         self._out(
             Send(
                 view.stream or 0,
--- a/src/godwitbank/_internal/network/endpoint.py
+++ b/src/godwitbank/_internal/network/endpoint.py
@@ -37,7 +37,7 @@
             "Godwitbank-Class": task.class_name,
         }
         if task.request_id:
-            headers["Idempotency-Key"] = task.request_id.rpartition("/")[2]
+            headers["Idempotency-Key"] = task.request_id
         try:
             answer = await self._post(task, headers)
         except (httpx.TimeoutException, TimeoutError):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,8 @@
 
 Rows have versions; a transaction commits if every row is at the version given.
 ``PUT /control`` makes it slow, takes it down, makes it lose the answers of
-writes that took effect, or serve reads of an older state.
+writes that took effect, or serve reads
+of the state some commits ago.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
     def __init__(self) -> None:
         self.rows: dict[str, dict[str, Any]] = {}
         self.old_rows: dict[str, dict[str, Any]] | None = None
+        self.history: list[dict[str, dict[str, Any]]] = []
         self.objects: dict[str, bytes] = {}
         self.writes = 0
         self.reads = 0
@@ -30,7 +32,7 @@
             "down": False,
             "slow_seconds": 0.0,
             "lose_answers": 0,
-            "stale_reads": False,
+            "age_reads": 0,
         }
 
     def read(self, key: str) -> dict[str, Any]:
@@ -47,6 +49,7 @@
             if self.rows.get(each["key"], empty)["version"] != each["version"]
         ]
         if not conflicts:
+            self.history = [*self.history[-3:], copy.copy(self.rows)]
             for each in puts:
                 version = each["version"] + 1
                 row = {"key": each["key"], "version": version, "value": each["value"]}
@@ -100,9 +103,10 @@
     @put("/control")
     async def control(data: dict[str, Any]) -> dict[str, Any]:
         store.control.update(data)
-        if data.get("stale_reads"):
-            store.old_rows = copy.deepcopy(store.rows)
-        elif "stale_reads" in data:
+        age = int(data.get("age_reads", 0))
+        if age:
+            store.old_rows = store.history[-age]
+        elif "age_reads" in data:
             store.old_rows = None
         return store.control
 
--- /dev/null
+++ b/tests/core/test_exploration.py
@@ -0,0 +1,273 @@
+"""Many cores together under a hostile wire: the rules hold after each step.
+
+``make explore`` runs it for longer. The last tests break one rule at a time and
+check that the exploration notices.
+"""
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from godwitbank._internal.core.agent import AgentCore
+from godwitbank._internal.core.catalog import Catalog
+from godwitbank._internal.core.events import DocumentRead
+from godwitbank._internal.core.memory import Memory
+from godwitbank._internal.models.messages import Refusal, Verdict
+from tests.lib.world import DESK, World
+
+ENTRIES = st.sampled_from(["entry-0", "entry-1"])
+AGENTS = st.sampled_from(["agent-0", "agent-1"])
+ANY = st.one_of(ENTRIES, AGENTS)
+PICK = st.integers(0, 10_000)
+KEYS = st.sampled_from(["k1", "k2", "k3"])
+
+
+class Exploration(RuleBasedStateMachine):
+    """Random steps over a world of two entries and two agents."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+
+    @rule(entry=ENTRIES, count=st.integers(1, 5))
+    def submit_job(self, entry: str, count: int) -> None:
+        self.world.submit(entry, count)
+
+    @rule(entry=ENTRIES, key=KEYS)
+    def submit_request(self, entry: str, key: str) -> None:
+        self.world.submit(entry, 1, key)
+
+    @rule(pick=PICK, times=st.integers(1, 30), repeat=st.booleans())
+    def deliver(self, pick: int, times: int, repeat: bool) -> None:
+        for step in range(times):
+            waiting = self.world.list_deliverable()
+            if not waiting:
+                return
+            number, end = waiting[(pick + 31 * step) % len(waiting)]
+            self.world.deliver(number, end, repeat)
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 0.6, 2.5, 4.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.world.pass_time(seconds)
+
+    @rule()
+    def settle(self) -> None:
+        self.world.settle(2)
+
+    @rule(agent=AGENTS, pick=PICK, answered=st.booleans())
+    def end_run(self, agent: str, pick: int, answered: bool) -> None:
+        running = sorted(self.world.running[agent])
+        if running:
+            self.world.end_run(agent, running[pick % len(running)], answered)
+
+    @rule(effect=st.booleans(), answer=st.booleans())
+    def finish_claims(self, effect: bool, answer: bool) -> None:
+        self.world.finish_claims(effect, answer)
+
+    @rule(down=st.booleans())
+    def set_table(self, down: bool) -> None:
+        self.world.table_down = down
+
+    @rule(pick=PICK, ways=st.sampled_from([(True, False), (False, True), (True, True)]))
+    def silence(self, pick: int, ways: tuple[bool, bool]) -> None:
+        wires = list(self.world.wires.values())
+        if wires:
+            wire = wires[-1 - pick % min(len(wires), 8)]
+            wire.silent = [
+                old or new for old, new in zip(wire.silent, ways, strict=True)
+            ]
+
+    @rule(pick=PICK)
+    def cut(self, pick: int) -> None:
+        numbers = [n for n, wire in self.world.wires.items() if not any(wire.closed)]
+        if numbers:
+            wire = self.world.wires[numbers[pick % len(numbers)]]
+            for end in (0, 1):
+                wire.queues[end].clear()
+                wire.queues[end].append(b"")
+
+    @rule(pick=PICK, end=st.sampled_from([0, 1]))
+    def reset_one_side(self, pick: int, end: int) -> None:
+        """Let one end see the stream die while the other still reads from it."""
+        wires = self.world.wires
+        numbers = [number for number, wire in wires.items() if not any(wire.closed)]
+        if numbers:
+            self.world.reset(numbers[-1 - pick % min(len(numbers), 6)], end)
+
+    @rule(pick=PICK)
+    def overtake(self, pick: int) -> None:
+        """Let a new stream settle everything before the old one is read."""
+        waiting = [
+            number
+            for number, end in self.world.list_deliverable()
+            if end == 1 and self.world.wires[number].opened[1]
+        ]
+        if waiting:
+            number = waiting[pick % len(waiting)]
+            self.world.reset(number, 0)
+            self.world.settle(3, but=number)
+
+    @rule(name=ANY)
+    def pause(self, name: str) -> None:
+        self.world.processes[name].paused = True
+
+    @rule(name=ANY)
+    def wake(self, name: str) -> None:
+        self.world.wake(name)
+
+    @rule(agent=AGENTS)
+    def restart_agent(self, agent: str) -> None:
+        self.world.kill(agent)
+        self.world.boot_agent(agent)
+
+    @rule(entry=ENTRIES)
+    def restart_entry(self, entry: str) -> None:
+        self.world.kill(entry)
+        self.world.boot_entry(entry)
+
+    @rule(agent=AGENTS)
+    @precondition(lambda self: len(self.world.left) == 0)
+    def leave(self, agent: str) -> None:
+        self.world.leave(agent)
+
+    @rule(entry=ENTRIES)
+    def apply(self, entry: str) -> None:
+        self.world.apply(entry)
+
+    @rule(entry=ENTRIES)
+    def read_old_revision(self, entry: str) -> None:
+        process = self.world.processes[entry]
+        self.world.post(process, DocumentRead("desk", 1, DESK))
+
+    def teardown(self) -> None:
+        self.world.check_not_run()
+
+
+TestExploration = Exploration.TestCase
+
+
+class Counted(Exploration):
+    """An exploration that says how many examples it took."""
+
+    examples = 0
+
+    def __init__(self) -> None:
+        super().__init__()
+        Counted.examples += 1
+
+
+def _explore(examples: int = 1000) -> None:
+    # Without shrinking: that a broken rule is noticed is what counts here.
+    run_state_machine_as_test(
+        Counted,
+        settings=settings(
+            settings.get_profile("ci"),
+            max_examples=examples,
+            report_multiple_bugs=False,
+            phases=[Phase.generate],
+        ),
+    )
+
+
+def _drop_fence(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Memory, "fence", lambda *arguments: None)
+
+
+def _ignore_incarnation(monkeypatch: pytest.MonkeyPatch) -> None:
+    resolve = AgentCore._resolve
+
+    def trust(self: AgentCore, entry: object, question: object) -> None:
+        named = question._replace(incarnation=self.identity.incarnation)
+        resolve(self, entry, named)
+
+    monkeypatch.setattr(AgentCore, "_resolve", trust)
+    monkeypatch.setattr(
+        "godwitbank._internal.core.entry.EntryCore._lose_outstanding",
+        lambda self, view, detail: self._resolve(view),
+    )
+
+
+def _accept_lower_revision(monkeypatch: pytest.MonkeyPatch) -> None:
+    install = Catalog.install
+
+    def accept(self: Catalog, service: str, revision: int, text: str) -> bool:
+        self._held.pop(service, None)
+        return install(self, service, revision, text)
+
+    monkeypatch.setattr(Catalog, "install", accept)
+
+
+def _add_slot(monkeypatch: pytest.MonkeyPatch) -> None:
+    slots = AgentCore.slots.fget
+    monkeypatch.setattr(AgentCore, "slots", property(lambda self: slots(self) + 1))
+
+
+def _ignore_duplicates(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Memory, "find", lambda self, key: None)
+
+
+def _start_while_leaving(monkeypatch: pytest.MonkeyPatch) -> None:
+    find = AgentCore._find_refusal
+
+    def ignore(self: AgentCore, start: object) -> Refusal | None:
+        refusal = find(self, start)
+        return None if refusal is Refusal.LEAVING else refusal
+
+    monkeypatch.setattr(AgentCore, "_find_refusal", ignore)
+
+
+def _skip_claims(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        "godwitbank._internal.core.claims.Claims.settle",
+        lambda self, number, lost: _win_all(self),
+    )
+
+
+def _win_all(claims: object) -> dict[str, bool]:
+    batch, claims._batch = claims._batch, None
+    return dict.fromkeys(batch.claims.values(), True) if batch else {}
+
+
+def _guess_not_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        "godwitbank._internal.core.dispatch.Dispatcher.lose",
+        lambda self, sent, detail: self._requeue(sent.task),
+    )
+
+
+def _resolve_forgets(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        Memory, "resolve", lambda self, key, start_by, entry: Verdict.FENCED
+    )
+
+
+@pytest.mark.parametrize(
+    "break_rule",
+    [
+        _drop_fence,
+        _ignore_incarnation,
+        _accept_lower_revision,
+        _add_slot,
+        _ignore_duplicates,
+        _start_while_leaving,
+        _skip_claims,
+        _guess_not_run,
+        _resolve_forgets,
+    ],
+)
+def test_exploration_notices_a_broken_rule(
+    break_rule: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    break_rule(monkeypatch)
+    Counted.examples = 0
+    with pytest.raises(AssertionError):
+        _explore()
+    print(f"{break_rule.__name__}: noticed after {Counted.examples} examples")
--- /dev/null
+++ b/tests/failures/test_stopping.py
@@ -0,0 +1,78 @@
+"""Every planned stop is graceful: no request is cut, none refused in vain."""
+
+import threading
+import time
+
+import httpx
+import pytest
+from standins.fleet import Fleet
+
+from tests.lib.scenes import start_desk
+
+pytestmark = pytest.mark.processes
+
+
+class Load:
+    """Callers that send requests through the balancer until told to stop."""
+
+    def __init__(self, fleet: Fleet, callers: int = 12) -> None:
+        self.failures: list[str] = []
+        self.answered = 0
+        self._url = f"http://127.0.0.1:{fleet.balancer_http}/v1/services/desk/requests"
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._call, daemon=True) for _ in range(callers)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def _call(self) -> None:
+        body = {"class": "size-change", "payload": {"run_ms": 40}}
+        while not self._stop.is_set():
+            try:
+                answer = httpx.post(self._url, json=body, timeout=30)
+            except httpx.HTTPError as error:
+                self.failures.append(repr(error))
+                continue
+            if answer.status_code == 200:
+                self.answered += 1
+            else:
+                self.failures.append(answer.text)
+
+    def finish(self) -> None:
+        """Stop the callers."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join(30)
+
+
+def test_rolling_restart_cuts_and_refuses_nothing(fleet: Fleet) -> None:
+    """The whole fleet is replaced, one process after the other, under load.
+
+    Symptom: a clerk sees an error during a rollout.
+    Sequence: each entry is replaced by a new one, then each agent, while
+    callers send requests through the balancer.
+    Cause: a process that exits before its requests, or refuses what another
+    could have taken.
+    """
+    start_desk(fleet, entries=2, agents=3)
+    load = Load(fleet)
+    for _ in range(2):
+        fleet.start_entry()
+        old = fleet.entries.pop(0)
+        fleet.balance()
+        old.stop()
+        assert old.process.wait(30) == 0
+        fleet.await_agents(3)
+    for agent in list(fleet.agents):
+        agent.stop()
+        assert agent.process.wait(30) == 0
+        fleet.restart_agent(agent)
+        fleet.await_agents(3)
+    answered = load.answered
+    deadline = time.monotonic() + 20
+    while load.answered < answered + 20 and time.monotonic() < deadline:
+        threading.Event().wait(0.05)
+    load.finish()
+    assert load.failures == []
+    assert load.answered > 100
