--- /dev/null
+++ b/bench/stubs.py
@@ -0,0 +1,136 @@
+"""Many agents, or many entries, in one process, to measure what each costs.
+
+``python -m bench.stubs agents COUNT ENTRY_STREAM`` runs agents with the real core
+and streams but with endpoints that only wait. ``python -m bench.stubs entries
+COUNT AGENT_STREAM`` opens entries' streams to one agent and keeps them alive.
+"""
+
+import asyncio
+import json
+import sys
+import time
+import uuid
+from typing import Any
+
+from godwitbank._internal.core.agent import AgentCore, Identity, Timing
+from godwitbank._internal.core.events import (
+    Action,
+    CloseStream,
+    EndpointAnnounced,
+    RunEnded,
+    RunTask,
+    Send,
+)
+from godwitbank._internal.models.messages import (
+    PROTOCOL_VERSION,
+    Ending,
+    Heartbeat,
+    Hello,
+    Role,
+)
+from godwitbank._internal.models.settings import parse_address
+from godwitbank._internal.network.codec import encode
+from godwitbank._internal.network.streams import StreamEvents, StreamTable
+from godwitbank._internal.operations.inbox import Inbox
+
+SLOTS = 64
+LEASE = 1e9
+ANNOUNCE_SECONDS = 1.0
+HEARTBEAT = 0.5
+
+
+class StubAgent:
+    """An agent whose endpoint only waits."""
+
+    def __init__(self, number: int, port: int) -> None:
+        address = f"127.0.0.1:{port}"
+        identity = Identity(f"stub-{number}", uuid.uuid4().hex, address, "a")
+        self.core = AgentCore(identity, Timing(), time.monotonic())
+        self.inbox = Inbox(
+            self.core, self.perform, lambda: self.core.next_wakeup, time.monotonic
+        )
+        self.greeting = Hello(
+            PROTOCOL_VERSION,
+            Role.AGENT,
+            identity.process,
+            identity.incarnation,
+            address,
+            "a",
+        )
+        events = StreamEvents(self.inbox.put, self.core.counts.add)
+        self.streams = StreamTable(events, self.greeting)
+
+    def perform(self, actions: list[Action]) -> None:
+        """Carry out the core's actions."""
+        writes: dict[int, list[Any]] = {}
+        for action in actions:
+            if isinstance(action, Send):
+                writes.setdefault(action.stream, []).append(action.message)
+            elif isinstance(action, RunTask):
+                seconds = json.loads(action.payload)["run_ms"] / 1000
+                loop = asyncio.get_running_loop()
+                loop.call_later(seconds, self.end, action, seconds)
+            elif isinstance(action, CloseStream):
+                self.streams.close(action.stream, silent=False)
+        for stream, messages in writes.items():
+            self.streams.write(stream, messages)
+
+    def end(self, task: RunTask, seconds: float) -> None:
+        """End a task as an endpoint would."""
+        kind = "application/json"
+        ended = RunEnded(task.key, Ending.ANSWERED, 200, kind, task.payload, seconds)
+        self.inbox.put(ended)
+
+    async def run(self, port: int, entry: str) -> None:
+        """Serve, and announce to one entry until it dials."""
+        loop = asyncio.get_running_loop()
+        await loop.create_server(self.streams.make_accepted, "127.0.0.1", port)
+        owner = asyncio.create_task(self.inbox.run())
+        self.inbox.put(EndpointAnnounced("desk", SLOTS, LEASE))
+        while True:
+            if not self.core.list_entries():
+                host, entry_port = parse_address(entry)
+                _, writer = await asyncio.open_connection(host, entry_port)
+                writer.write(encode(self.greeting))
+                await asyncio.sleep(ANNOUNCE_SECONDS)
+                writer.close()
+            await asyncio.sleep(ANNOUNCE_SECONDS)
+            assert not owner.done()
+
+
+async def run_agents(first_port: int, count: int, entry: str) -> None:
+    """Run stub agents on consecutive ports."""
+    agents = [StubAgent(number, first_port + number) for number in range(count)]
+    await asyncio.gather(
+        *(agent.run(first_port + n, entry) for n, agent in enumerate(agents))
+    )
+
+
+async def run_entries(count: int, agent: str) -> None:
+    """Keep some entries' streams to one agent alive."""
+    host, port = parse_address(agent)
+    writers = []
+    for number in range(count):
+        _, writer = await asyncio.open_connection(host, port)
+        name = f"stub-{number}"
+        address = f"127.0.0.1:{number + 1}"
+        hello = Hello(PROTOCOL_VERSION, Role.ENTRY, name, name, address, "a")
+        writer.write(encode(hello))
+        writers.append(writer)
+    while True:
+        for writer in writers:
+            writer.write(encode(Heartbeat(time.monotonic(), 0, 0, 0.0, 0, 0)))
+        await asyncio.sleep(HEARTBEAT)
+
+
+def main() -> None:
+    """Read the command line and run."""
+    role, count, address = sys.argv[1:4]
+    if role == "entries":
+        asyncio.run(run_entries(int(count), address))
+    else:
+        asyncio.run(run_agents(int(sys.argv[4]), int(count), address))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/godwitbank/_internal/models/document.py
+++ b/src/godwitbank/_internal/models/document.py
@@ -210,6 +210,14 @@
             "fewer connections than slots",
             "give at least as many connections as slots",
         )
+    longest = max(item.timeout_seconds for item in document.classes.values())
+    if document.endpoint.drain_seconds < longest:
+        return TableFault(
+            find_line(text, "endpoint.drain_seconds"),
+            "endpoint.drain_seconds",
+            "shorter than the longest timeout, so a drain would cut tasks",
+            f"give at least {longest:g}",
+        )
     for name, item in document.classes.items():
         if item.timeout_seconds > item.deadline_seconds:
             key = f"class.{name}.timeout_seconds"
--- a/src/godwitbank/_internal/models/settings.py
+++ b/src/godwitbank/_internal/models/settings.py
@@ -6,7 +6,12 @@
 from returns.result import Success
 
 from godwitbank._internal.exceptions import SettingsError
-from godwitbank._internal.utils.tables import TableFault, parse_text, read_table
+from godwitbank._internal.utils.tables import (
+    TableFault,
+    find_line,
+    parse_text,
+    read_table,
+)
 
 
 class EntrySettings(NamedTuple):
@@ -67,6 +72,9 @@
     seed: int = 0
 
 
+MIN_HEARTBEATS = 2
+"""Heartbeats that must fit into the silence after which a stream is closed."""
+
 S = TypeVar("S", EntrySettings, AgentSettings)
 
 
@@ -93,6 +101,21 @@
     return None
 
 
+def _check_silence(
+    settings: EntrySettings | AgentSettings, text: str
+) -> TableFault | None:
+    heartbeat = settings.heartbeat
+    silence = settings.silence
+    if 0 < heartbeat <= silence / MIN_HEARTBEATS:
+        return None
+    return TableFault(
+        find_line(text, "heartbeat"),
+        "heartbeat",
+        f"{heartbeat} s is not above 0 and well below silence ({silence} s)",
+        f"give at most silence / {MIN_HEARTBEATS}",
+    )
+
+
 def load_settings(path: str, shape: type[S]) -> S:
     """Read and check a settings file.
 
@@ -110,6 +133,8 @@
     fault = None if isinstance(result, Success) else result.failure()
     if fault is None:
         fault = _check_address(result.unwrap(), text)
+    if fault is None:
+        fault = _check_silence(result.unwrap(), text)
     if fault is not None:
         raise SettingsError(
             f"settings are wrong: {fault}",
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line's frame."""
