--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(BIN)/python -m demo
 
 test: check
-	$(BIN)/python -m pytest -n 4 --dist loadscope
+	$(BIN)/python -m pytest -n 4 --dist load
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- /dev/null
+++ b/tests/core/test_ejection.py
@@ -0,0 +1,77 @@
+"""Ejection: within a cap, against peers, and back by probes."""
+
+from random import Random
+
+from godwitbank._internal.core import ejection
+from godwitbank._internal.core.pool import AgentView, Pool
+
+
+def _make_pool(count: int) -> Pool:
+    pool = Pool(Random(1), "a", 3.0)
+    for number in range(count):
+        view = AgentView(f"agent-{number}", 0.0)
+        view.service = "desk"
+        view.connect(number + 1, "i", 0.0, 0.0)
+        view.report(8, 0)
+        pool.views.append(view)
+    return pool
+
+
+def _fail(view: AgentView, votes: int = 6) -> None:
+    for number in range(votes):
+        view.failures.add(f"s{number}", True, 1.0)
+
+
+def test_one_that_fails_alone_is_ejected() -> None:
+    pool = _make_pool(4)
+    _fail(pool.views[0])
+    assert ejection.find_reason(pool.views[0], pool, 1.0) == "failing"
+
+
+def test_failing_everywhere_ejects_nobody() -> None:
+    pool = _make_pool(4)
+    for view in pool.views:
+        _fail(view)
+    assert not any(ejection.find_reason(view, pool, 1.0) for view in pool.views)
+
+
+def test_a_job_of_failing_tasks_has_one_vote() -> None:
+    pool = _make_pool(4)
+    for _ in range(460):
+        pool.views[0].failures.add("one", True, 1.0)
+    assert ejection.find_reason(pool.views[0], pool, 1.0) is None
+
+
+def test_at_most_a_third_is_ejected() -> None:
+    pool = _make_pool(6)
+    ejected = 0
+    for view in pool.views[:3]:
+        _fail(view)
+        if ejection.find_reason(view, pool, 1.0):
+            ejection.eject(view, 1.0)
+            ejected += 1
+    assert ejected == 2
+
+
+def test_ejected_agent_is_probed_with_one_task_at_a_time() -> None:
+    pool = _make_pool(2)
+    view = pool.views[0]
+    ejection.eject(view, 0.0)
+    assert not pool.is_open(view, 0.5)
+    after = ejection.FIRST_EJECTION + 0.1
+    for each in pool.views:
+        each.set_clock(after, after)
+    assert pool.is_open(view, after)
+    view.outstanding[object()] = object()  # type: ignore[index, assignment]
+    assert not pool.is_open(view, after)
+
+
+def test_one_that_crawls_is_ejected() -> None:
+    pool = _make_pool(4)
+    chance = Random(3)
+    for view in pool.views:
+        for _ in range(40):
+            factor = 10 if view is pool.views[0] else 1
+            view.observe_run(chance.uniform(0.05, 1) * factor, 0.55)
+    found = [ejection.find_reason(view, pool, 1.0) for view in pool.views]
+    assert found == ["slow", None, None, None]
