--- a/src/godwitbank/_internal/core/agent.py
+++ b/src/godwitbank/_internal/core/agent.py
@@ -74,9 +74,9 @@
 class Timing(NamedTuple):
     """Periods shared by both cores, in seconds."""
 
-    heartbeat: float = 0.5
-    silence: float = 2.0
-    start_window: float = 3.0
+    heartbeat: float = 1.0
+    silence: float = 3.0
+    start_window: float = 4.0
 
 
 class EntryStream:
