Share the table's writes among entries; bound remembered answers in bytes

Cause: found while adding up docs/CAPACITY.md. Each entry wrote claims as fast as the table answers, so 128 entries would ask for some 12,800 writes a second of a table that does several hundred. And an agent kept up to 2,000 answers for repeated request ids, each up to 4 MB.

Ruled out: a fixed pause (slow where there are two entries).

Change: an entry pauses entries / 300 s between claim writes and groups what comes meanwhile; remembered answers are bounded to 32 MB, oldest out first.

At two entries a claim may wait 7 ms longer than before.

--- a/src/godwitbank/_internal/core/claims.py
+++ b/src/godwitbank/_internal/core/claims.py
@@ -17,6 +17,9 @@
 FAILURES_TO_REFUSE = 2
 """Writes without an answer, in a row, after which new claims are refused."""
 
+WRITES_PER_SECOND = 300.0
+"""Claim writes that all entries together may make of the table's several hundred."""
+
 RETRY_DELAY = 0.1
 """Seconds before a batch without an answer is sent again."""
 
@@ -48,6 +51,7 @@
         self._waiting: OrderedDict[str, Claim] = OrderedDict()
         self._batch: Batch | None = None
         self._retry_at = 0.0
+        self._next_at = 0.0
         self._number = 0
         self._failures = 0
         self._held: OrderedDict[str, str] = OrderedDict()
@@ -62,15 +66,20 @@
         self._waiting[key] = Claim(key, token, now)
         self._remember(self._held, key, token)
 
-    def next_batch(self, now: float) -> Batch | None:
-        """Take the batch to write now, if any."""
+    def next_batch(self, now: float, entries: int) -> Batch | None:
+        """Take the batch to write now, if any.
+
+        :param entries: entries known, this one included. They share the table's
+            writes, so each waits that much longer and groups that many more.
+        """
         if self._batch is not None:
             if self._retry_at and now >= self._retry_at:
                 self._retry_at = 0.0
                 return self._batch
             return None
-        if not self._waiting:
+        if not self._waiting or now < self._next_at:
             return None
+        self._next_at = now + entries / WRITES_PER_SECOND
         keys = list(self._waiting)[:MAX_BATCH]
         claims = {key: self._waiting.pop(key).token for key in keys}
         supersedes = {
@@ -120,9 +129,11 @@
         return self._failures >= FAILURES_TO_REFUSE
 
     @property
-    def next_retry(self) -> float:
-        """Time of the next retry, or 0."""
-        return self._retry_at
+    def next_write(self) -> float:
+        """Time at which a batch may next go out, or infinity."""
+        if self._batch is not None:
+            return self._retry_at or float("inf")
+        return self._next_at if self._waiting else float("inf")
 
     @staticmethod
     def _remember(where: OrderedDict[str, str], key: str, token: str) -> None:
--- a/src/godwitbank/_internal/core/dispatch.py
+++ b/src/godwitbank/_internal/core/dispatch.py
@@ -65,6 +65,7 @@
         self.jobs: dict[str, Job] = {}
         self.services: dict[str, Service] = {}
         self.claims = Claims()
+        self.entries = 1
         self._recalls = Recalls()
         self._catalog = catalog
         self._counts = counts
@@ -83,10 +84,8 @@
     @property
     def next_wakeup(self) -> float:
         """Time of the next deadline or retry."""
-        times = [self._deadlines[0][0]] if self._deadlines else []
-        if self.claims.next_retry:
-            times.append(self.claims.next_retry)
-        return min(times, default=float("inf"))
+        deadline = self._deadlines[0][0] if self._deadlines else float("inf")
+        return min(deadline, self.claims.next_write)
 
     def configure(self, name: str) -> None:
         """Put the catalog's document of a service in force."""
@@ -157,7 +156,7 @@
     # Claims
 
     def _write_claims(self) -> None:
-        batch = self.claims.next_batch(self._now)
+        batch = self.claims.next_batch(self._now, self.entries)
         if batch is not None:
             self._counts.add("claim_writes")
             self._out(WriteClaims(*batch))
--- a/src/godwitbank/_internal/core/entry.py
+++ b/src/godwitbank/_internal/core/entry.py
@@ -464,6 +464,7 @@
 
     def _tick(self, event: Tick) -> None:
         del event
+        self.dispatcher.entries = len(self._list_entry_addresses())
         self.dispatcher.check_times()
         if self._now < self._next_heartbeat:
             return
--- a/src/godwitbank/_internal/core/memory.py
+++ b/src/godwitbank/_internal/core/memory.py
@@ -27,6 +27,9 @@
 MAX_REQUESTS = 2_000
 """Most non-idempotent answers kept to be asked for again."""
 
+MAX_REQUEST_BYTES = 32 * 1024 * 1024
+"""Most bytes of such answers; one alone may be megabytes."""
+
 
 class TaskName(NamedTuple):
     """A task without its attempt."""
@@ -66,6 +69,7 @@
         self._requests: OrderedDict[str, TaskName] = OrderedDict()
         self._request_times: dict[str, float] = {}
         self._request_endings: dict[str, RunEnded] = {}
+        self._request_bytes = 0
         self._retention = retention
         self._max_records = max_records
         self._forgotten = float("-inf")
@@ -116,6 +120,7 @@
             record.ending = ending
         if request_id in self._requests:
             self._request_endings[request_id] = ending
+            self._request_bytes += len(ending.body)
         return record
 
     def acknowledge(self, key: TaskKey) -> None:
@@ -173,8 +178,10 @@
         while self._requests:
             request_id = next(iter(self._requests))
             old = self._request_times[request_id] + REQUEST_RETENTION < now
-            if not old and len(self._requests) <= MAX_REQUESTS:
+            many = len(self._requests) > MAX_REQUESTS
+            if not (old or many or self._request_bytes > MAX_REQUEST_BYTES):
                 break
             del self._requests[request_id]
             del self._request_times[request_id]
-            self._request_endings.pop(request_id, None)
+            ending = self._request_endings.pop(request_id, None)
+            self._request_bytes -= len(ending.body) if ending else 0
