Split the agent's decisions: its endpoint, its parked starts, its identity

Change: core/tenancy.py, core/parking.py, core/identity.py. Behaviour and assertions kept; one broken rule names its new place.

--- a/bench/stubs.py
+++ b/bench/stubs.py
@@ -12,7 +12,7 @@
 import uuid
 from typing import Any
 
-from godwitbank._internal.core.agent import AgentCore, Identity, Timing
+from godwitbank._internal.core.agent import AgentCore
 from godwitbank._internal.core.events import (
     Action,
     CloseStream,
@@ -21,6 +21,7 @@
     RunTask,
     Send,
 )
+from godwitbank._internal.core.identity import Identity, Timing
 from godwitbank._internal.models.messages import (
     PROTOCOL_VERSION,
     Ending,
--- a/src/godwitbank/_internal/core/agent.py
+++ b/src/godwitbank/_internal/core/agent.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import NamedTuple
 
 from godwitbank._internal.core.catalog import Catalog
 from godwitbank._internal.core.counters import Counts
@@ -23,7 +22,10 @@
 )
 from godwitbank._internal.core.failure_rate import FailureRate
 from godwitbank._internal.core.grants import Grants
+from godwitbank._internal.core.identity import Identity, Timing
 from godwitbank._internal.core.memory import Memory, State
+from godwitbank._internal.core.parking import Parking
+from godwitbank._internal.core.tenancy import Tenancy
 from godwitbank._internal.models.messages import (
     PROTOCOL_VERSION,
     Cancel,
@@ -59,26 +61,6 @@
 """Longest wait for acknowledgements once a leaving agent has nothing running."""
 
 
-class Identity(NamedTuple):
-    """Who a process is.
-
-    :param incarnation: random, new at each start of the process.
-    """
-
-    process: str
-    incarnation: str
-    address: str
-    zone: str
-
-
-class Timing(NamedTuple):
-    """Periods shared by both cores, in seconds."""
-
-    heartbeat: float = 1.0
-    silence: float = 3.0
-    start_window: float = 4.0
-
-
 class EntryStream:
     """An entry's stream, as the agent sees it."""
 
@@ -92,13 +74,6 @@
         self.digest = 0
 
 
-class Parked(NamedTuple):
-    """A start that waits for a slot."""
-
-    stream: int
-    start: Start
-
-
 class AgentCore:
     """Decides for one agent; driven by events, answers with actions."""
 
@@ -108,20 +83,13 @@
         self.counts = Counts()
         self.catalog = Catalog()
         self.memory = Memory()
-        self.service = ""
-        self.leaving = False
         self.running: dict[TaskKey, Start] = {}
-        self._announced_slots = 0
-        self._lease_until = now
-        self._instance = ""
-        self._left_instance = ""
-        self._drain_asked = False
-        self._stopping = False
+        self._tenancy = Tenancy(now)
         self._drained = False
         self._idle_since: float | None = None
         self._streams: dict[int, EntryStream] = {}
         self._by_entry: dict[str, int] = {}
-        self._parked: deque[Parked] = deque()
+        self._parking = Parking()
         self._grants = Grants()
         self._failures = FailureRate()
         self._next_heartbeat = now
@@ -158,13 +126,23 @@
         self._handlers[type(event)](event)
         return self._out
 
+    @property
+    def service(self) -> str:
+        """Service of the endpoint; empty while there is none."""
+        return self._tenancy.service
+
+    @property
+    def leaving(self) -> bool:
+        """Whether nothing new is started."""
+        return self._tenancy.leaving
+
     @property
     def slots(self) -> int:
         """Tasks that may run at once: the endpoint's word and the document's."""
         held = self.catalog.find(self.service)
         if held is None:
-            return self._announced_slots
-        return min(self._announced_slots, held.document.endpoint.slots)
+            return self._tenancy.slots
+        return min(self._tenancy.slots, held.document.endpoint.slots)
 
     @property
     def next_wakeup(self) -> float:
@@ -182,7 +160,7 @@
             "service": self.service,
             "slots": self.slots,
             "running": len(self.running),
-            "parked": len(self._parked),
+            "parked": len(self._parking),
             "leaving": self.leaving,
             "remembered": len(self.memory),
             "entries": self.list_entries(),
@@ -231,14 +209,9 @@
     def _drop_parked(self, stream: int) -> None:
         # An entry that died with starts waiting here has a caller who will
         # submit again; letting the old ones start would run the work twice.
-        kept: deque[Parked] = deque()
-        for parked in self._parked:
-            if parked.stream == stream:
-                self._fence(parked.stream, parked.start)
-                self.counts.add("parked_dropped", "stream_closed")
-            else:
-                kept.append(parked)
-        self._parked = kept
+        for parked in self._parking.take_stream(stream):
+            self._fence(parked.stream, parked.start)
+            self.counts.add("parked_dropped", "stream_closed")
 
     def _fence(self, stream: int, start: Start) -> None:
         entry = self._streams.get(stream)
@@ -265,7 +238,7 @@
         if record is not None and record.state is not State.FENCED:
             self._answer_duplicate(entry, start, record.attempt)
             return
-        if any(parked.start.key == start.key for parked in self._parked):
+        if start.key in self._parking:
             self.counts.add("starts_ignored", "duplicate")
             return
         if start.request_id and self.memory.has_request(start.request_id):
@@ -276,10 +249,10 @@
         refusal = self._find_refusal(start)
         if refusal is not None:
             self._refuse(entry.stream, start, refusal)
-        elif len(self.running) < self.slots and not self._parked:
+        elif len(self.running) < self.slots and not self._parking:
             self._run(entry.stream, start)
-        elif len(self._parked) < self._parked_limit():
-            self._parked.append(Parked(entry.stream, start))
+        elif len(self._parking) < self._parked_limit():
+            self._parking.add(entry.stream, start)
             self.counts.add("starts_parked")
         else:
             self._refuse(entry.stream, start, Refusal.BUSY)
@@ -305,7 +278,7 @@
             return Refusal.LEAVING
         if not self.service:
             return Refusal.NO_ENDPOINT
-        if self._now > self._lease_until:
+        if self._tenancy.is_lapsed(self._now):
             return Refusal.LAPSED
         if start.service != self.service:
             return Refusal.WRONG_SERVICE
@@ -359,8 +332,8 @@
         self._check_drained()
 
     def _start_parked(self) -> None:
-        while self._parked and len(self.running) < self.slots:
-            parked = self._parked.popleft()
+        while self._parking and len(self.running) < self.slots:
+            parked = self._parking.pop()
             refusal = self._find_refusal(parked.start)
             if refusal is None:
                 self._run(parked.stream, parked.start)
@@ -392,12 +365,11 @@
         )
 
     def _cancel(self, entry: EntryStream, cancel: Cancel) -> None:
-        for parked in self._parked:
-            if parked.start.key == cancel.key:
-                self._parked.remove(parked)
-                self._refuse(entry.stream, parked.start, Refusal.CANCELLED)
-                self._tell_loads()
-                return
+        parked = self._parking.take(cancel.key)
+        if parked is not None:
+            self._refuse(entry.stream, parked.start, Refusal.CANCELLED)
+            self._tell_loads()
+            return
         self.counts.add("cancels_late")
 
     def _resolve(self, entry: EntryStream, question: Resolve) -> None:
@@ -405,10 +377,8 @@
         if question.incarnation == self.identity.incarnation:
             # A start that waits for a slot hasn't started: take it back, or it
             # would run after the entry was told that it never will.
-            for parked in list(self._parked):
-                if parked.start.key == question.key:
-                    self._parked.remove(parked)
-                    self._tell_loads()
+            if self._parking.take(question.key) is not None:
+                self._tell_loads()
             verdict = self.memory.resolve(
                 question.key, question.start_by, entry.hello.incarnation
             )
@@ -422,9 +392,9 @@
     # Load
 
     def _count_free(self) -> int:
-        if self.leaving or not self.service or self._now > self._lease_until:
+        if not self._tenancy.is_open(self._now):
             return 0
-        return self.slots - len(self.running) - len(self._parked)
+        return self.slots - len(self.running) - len(self._parking)
 
     def _want(self, entry: EntryStream, want: Want) -> None:
         rank = self._now + want.rank_in
@@ -440,21 +410,7 @@
     # Endpoint
 
     def _announce(self, event: EndpointAnnounced) -> None:
-        if self._left_instance == event.instance:
-            # A renewal that crossed the endpoint's own goodbye.
-            return
-        if self._left_instance:
-            self._left_instance = ""
-            self.leaving = self._drain_asked or self._stopping
-            self.service = ""
-        self._instance = event.instance
-        lapsed = self._now > self._lease_until
-        self._lease_until = self._now + event.lease
-        known = (self.service, self._announced_slots)
-        changed = lapsed or (event.service, event.slots) != known
-        self.service = event.service
-        self._announced_slots = event.slots
-        if changed:
+        if self._tenancy.announce(event, self._now):
             self.counts.add("endpoint_announced")
             self._tell_endpoint()
         self._start_parked()
@@ -462,33 +418,33 @@
 
     def _leave(self, event: EndpointLeft) -> None:
         del event
-        self._left_instance = self._instance
+        self._tenancy.leave()
         self._begin_leaving("endpoint")
 
     def _drain(self, entry: EntryStream, drain: Drain) -> None:
         del entry, drain
-        self._drain_asked = True
+        self._tenancy.drain()
         self._begin_leaving("operator")
 
     def _stop(self, event: StopRequested) -> None:
         del event
-        self._stopping = True
+        self._tenancy.stopping = True
         self._begin_leaving("stop")
         self._check_drained()
 
     def _begin_leaving(self, reason: str) -> None:
         if self.leaving:
             return
-        self.leaving = True
+        self._tenancy.leaving = True
         self.counts.add("leaving", reason)
         self._tell_endpoint()
-        while self._parked:
-            parked = self._parked.popleft()
+        while self._parking:
+            parked = self._parking.pop()
             self._refuse(parked.stream, parked.start, Refusal.LEAVING)
         self._tell_loads()
 
     def _describe_endpoint(self) -> EndpointState:
-        service = self.service if self._now <= self._lease_until else ""
+        service = "" if self._tenancy.is_lapsed(self._now) else self.service
         return EndpointState(service, self.slots, self.leaving)
 
     def _tell_endpoint(self) -> None:
@@ -496,7 +452,7 @@
             self._send(stream, self._describe_endpoint())
 
     def _check_drained(self) -> None:
-        if not self._stopping or self.running or self._drained:
+        if not self._tenancy.stopping or self.running or self._drained:
             return
         if self._idle_since is None:
             self._idle_since = self._now
@@ -570,9 +526,8 @@
 
     def _tick(self, event: Tick) -> None:
         del event
-        if self.service and self._now > self._lease_until:
+        if self._tenancy.lapse(self._now):
             self.counts.add("endpoint_lapsed")
-            self.service = ""
             self._tell_endpoint()
             self._tell_loads()
         for entry in list(self._streams.values()):
--- a/src/godwitbank/_internal/core/dispatch.py
+++ b/src/godwitbank/_internal/core/dispatch.py
@@ -5,7 +5,6 @@
 from random import Random
 
 from godwitbank._internal.core import ejection
-from godwitbank._internal.core.agent import Timing
 from godwitbank._internal.core.catalog import Catalog
 from godwitbank._internal.core.claims import Claims
 from godwitbank._internal.core.counters import Counts
@@ -18,6 +17,7 @@
     Send,
     WriteClaims,
 )
+from godwitbank._internal.core.identity import Timing
 from godwitbank._internal.core.pool import AgentView, Sent
 from godwitbank._internal.core.recalls import Recalls
 from godwitbank._internal.core.service import Service
--- a/src/godwitbank/_internal/core/entry.py
+++ b/src/godwitbank/_internal/core/entry.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from random import Random
 
-from godwitbank._internal.core.agent import Identity, Timing
 from godwitbank._internal.core.catalog import Catalog
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.dispatch import Dispatcher
@@ -24,6 +23,7 @@
     TableSeen,
     Tick,
 )
+from godwitbank._internal.core.identity import Identity, Timing
 from godwitbank._internal.core.peers import PeerView
 from godwitbank._internal.core.pool import AgentView, ToldDemand
 from godwitbank._internal.core.service import PeerBacklog
--- a/src/godwitbank/_internal/operations/agent.py
+++ b/src/godwitbank/_internal/operations/agent.py
@@ -9,7 +9,7 @@
 
 from absl import logging
 
-from godwitbank._internal.core.agent import AgentCore, Identity, Timing
+from godwitbank._internal.core.agent import AgentCore
 from godwitbank._internal.core.announcements import Announcements
 from godwitbank._internal.core.events import (
     Action,
@@ -22,6 +22,7 @@
     Send,
     StopRequested,
 )
+from godwitbank._internal.core.identity import Identity, Timing
 from godwitbank._internal.exceptions import FrameError
 from godwitbank._internal.http.agent import make_app
 from godwitbank._internal.models.messages import (
--- a/src/godwitbank/_internal/operations/entry.py
+++ b/src/godwitbank/_internal/operations/entry.py
@@ -10,7 +10,6 @@
 
 from absl import logging
 
-from godwitbank._internal.core.agent import Identity, Timing
 from godwitbank._internal.core.entry import EntryCore
 from godwitbank._internal.core.events import (
     Action,
@@ -28,6 +27,7 @@
     TableSeen,
     WriteClaims,
 )
+from godwitbank._internal.core.identity import Identity, Timing
 from godwitbank._internal.exceptions import TableError
 from godwitbank._internal.http.entry import make_app
 from godwitbank._internal.models.messages import PROTOCOL_VERSION, Hello, Message, Role
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -122,14 +122,14 @@
     Break(
         "agent exits with work running",
         f"{CORE}/agent.py",
-        "if not self._stopping or self.running or self._drained:",
-        "if not self._stopping or self._drained:",
+        "if not self._tenancy.stopping or self.running or self._drained:",
+        "if not self._tenancy.stopping or self._drained:",
         f"{FAILURES}/test_leaving.py::test_leaving_takes_nothing_new_and_cuts_nothing",
     ),
     Break(
         "lease never lapses",
-        f"{CORE}/agent.py",
-        "if self.service and self._now > self._lease_until:",
+        f"{CORE}/tenancy.py",
+        "if self.service and self.is_lapsed(now):",
         "if False:",
         f"{FAILURES}/test_leaving.py::test_vanished_endpoint_lapses",
     ),
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Any
 
-from godwitbank._internal.core.agent import AgentCore, Identity, Timing
+from godwitbank._internal.core.agent import AgentCore
 from godwitbank._internal.core.entry import EntryCore
 from godwitbank._internal.core.events import (
     ClaimsFailed,
@@ -33,6 +33,7 @@
     Tick,
     WriteClaims,
 )
+from godwitbank._internal.core.identity import Identity, Timing
 from godwitbank._internal.models.messages import (
     PROTOCOL_VERSION,
     Ending,
