Split membership off the entry's decisions

Change: core/membership.py owns agents, peers, their streams and dialling; one dialling loop serves both. Behaviour and assertions kept.

--- a/src/godwitbank/_internal/core/entry.py
+++ b/src/godwitbank/_internal/core/entry.py
@@ -12,7 +12,6 @@
     ClaimsFailed,
     ClaimsWritten,
     CloseStream,
-    Dial,
     DocumentRead,
     DrainRequested,
     Received,
@@ -24,6 +23,7 @@
     Tick,
 )
 from godwitbank._internal.core.identity import Identity, Timing
+from godwitbank._internal.core.membership import FORGET_SECONDS, Membership
 from godwitbank._internal.core.peers import PeerView
 from godwitbank._internal.core.pool import AgentView, ToldDemand
 from godwitbank._internal.core.service import PeerBacklog
@@ -52,13 +52,6 @@
 DOUBT_SECONDS = 6.0
 """Seconds an unreachable agent has to come back before its tasks are lost."""
 
-FORGET_SECONDS = 60.0
-"""Seconds after which an unreachable agent or entry is no longer dialled."""
-
-SEARCH_ALONE = 0.5
-SEARCH_SECONDS = 10.0
-"""Seconds between looks through the balancer, alone and in company."""
-
 LONE_SECONDS = 1.0
 """Seconds a booting entry listens for newer revisions before it serves."""
 
@@ -76,17 +69,12 @@
     ) -> None:
         self.identity = identity
         self.timing = timing
-        self._balancer = balancer
-        self._next_search = now
         self.counts = Counts()
         self.catalog = Catalog()
         self.dispatcher = Dispatcher(
             self.catalog, self.counts, timing, rng, identity.zone
         )
-        self.agents: dict[str, AgentView] = {}
-        self.peers: dict[str, PeerView] = {}
-        self._agent_streams: dict[int, AgentView] = {}
-        self._peer_streams: dict[int, PeerView] = {}
+        self.members = Membership(identity, balancer, self.counts, now)
         self._inbound: dict[int, Hello] = {}
         self._booted_at = now
         self._table_seen = False
@@ -134,6 +122,7 @@
         self._now = now
         self._out = []
         self.dispatcher.begin(now, self._out.append)
+        self.members.begin(now, self._out.append)
         self._handlers[type(event)](event)
         return self._out
 
@@ -171,28 +160,28 @@
         self._inbound[stream] = hello
         self._send(stream, self._make_hello())
         if hello.role == Role.AGENT:
-            self._learn_agent(hello.address)
-            self._send(stream, Peers(self._list_entry_addresses(), []))
+            self.members.learn_agent(hello.address)
+            self._send(stream, Peers(self.members.list_entries(), []))
             return
         if hello.address != self.identity.address:
-            self._learn_peer(hello.address)
-        known = [view.address for view in self.agents.values()]
-        self._send(stream, Peers(self._list_entry_addresses(), known))
+            self.members.learn_peer(hello.address)
+        known = [view.address for view in self.members.agents.values()]
+        self._send(stream, Peers(self.members.list_entries(), known))
         self._send(stream, Revisions(self._list_held()))
 
     def _open_agent(self, event: StreamOpened, welcome: Welcome) -> None:
-        view = self.agents.get(event.address)
+        view = self.members.agents.get(event.address)
         if view is None:
             self._out.append(CloseStream(event.stream, "forgotten"))
             return
         if view.stream is not None:
             self._out.append(CloseStream(view.stream, "replaced"))
-            self._agent_streams.pop(view.stream, None)
+            self.members.agent_streams.pop(view.stream, None)
         same = view.incarnation == welcome.incarnation
         view.process = welcome.process
         view.zone = welcome.zone
         view.connect(event.stream, welcome.incarnation, welcome.clock, self._now)
-        self._agent_streams[event.stream] = view
+        self.members.agent_streams[event.stream] = view
         self.counts.add("streams_opened", Role.AGENT)
         if same:
             self._resolve(view)
@@ -217,39 +206,36 @@
             # The balancer led back to this very process.
             self._out.append(CloseStream(stream, "self"))
             return
-        if address == self._balancer:
-            self._learn_peer(hello.address)
+        if self.members.is_balancer(address):
+            self.members.learn_peer(hello.address)
             self._out.append(CloseStream(stream, "found"))
             return
-        peer = self.peers.setdefault(address, PeerView(address, self._now))
+        peer = self.members.peers.setdefault(address, PeerView(address, self._now))
         peer.connect(stream, hello.process, self._now)
-        self._peer_streams[stream] = peer
+        self.members.peer_streams[stream] = peer
         self.counts.add("streams_opened", Role.ENTRY)
         self._send(stream, Revisions(self._list_held()))
 
     def _close(self, event: StreamClosed) -> None:
         self._inbound.pop(event.stream, None)
-        view = self._agent_streams.pop(event.stream, None)
+        view = self.members.agent_streams.pop(event.stream, None)
         if view is not None and view.stream == event.stream:
             view.disconnect(self._now)
             self.counts.add("streams_lost", Role.AGENT)
-            self._dial_agents()
+            self.members.dial_agents()
             return
-        peer = self._peer_streams.pop(event.stream, None)
+        peer = self.members.peer_streams.pop(event.stream, None)
         if peer is not None:
             peer.disconnect(self._now)
             self.counts.add("streams_lost", Role.ENTRY)
             return
         if event.stream:
             return
-        if event.address in self.agents:
-            self.agents[event.address].postpone_dial(self._now)
-        elif event.address in self.peers:
-            self.peers[event.address].postpone_dial(self._now)
+        self.members.note_failed_dial(event.address)
 
     def _receive(self, event: Received) -> None:
         message = event.message
-        view = self._agent_streams.get(event.stream)
+        view = self.members.agent_streams.get(event.stream)
         if view is not None:
             view.heard_at = self._now
             receiver = self._agent_receivers.get(type(message))
@@ -258,7 +244,7 @@
                 return
             receiver(view, message)
             return
-        peer = self._peer_streams.get(event.stream)
+        peer = self.members.peer_streams.get(event.stream)
         if peer is not None:
             peer.heard_at = self._now
             receiver = self._peer_receivers.get(type(message))
@@ -292,54 +278,12 @@
 
     # Membership
 
-    def _learn_agent(self, address: str) -> None:
-        view = self.agents.get(address)
-        if view is None:
-            view = self.agents[address] = AgentView(address, self._now)
-            self.counts.add("agents_learnt")
-        elif view.stream is None:
-            # It says that it is there, so don't wait out the dial delay.
-            view.dial_at = self._now
-        self._dial_agents()
-
-    def _learn_peer(self, address: str) -> None:
-        if address in (self.identity.address, "") or address in self.peers:
-            return
-        self.peers[address] = PeerView(address, self._now)
-        self.counts.add("peers_learnt")
-        self._dial_peers()
-
-    def _dial_agents(self) -> None:
-        for view in self.agents.values():
-            if view.stream is None and not view.dialling and view.dial_at <= self._now:
-                view.dialling = True
-                self._out.append(Dial(view.address))
-
-    def _dial_peers(self) -> None:
-        for peer in self.peers.values():
-            if peer.stream is None and not peer.dialling and peer.dial_at <= self._now:
-                peer.dialling = True
-                self._out.append(Dial(peer.address))
-
-    def _search(self) -> None:
-        # Entries find each other through the balancer; once one is connected
-        # the rest follow from it, so a rare look is enough to heal a split.
-        if not self._balancer or self._now < self._next_search:
-            return
-        alone = not any(peer.stream for peer in self.peers.values())
-        self._next_search = self._now + (SEARCH_ALONE if alone else SEARCH_SECONDS)
-        self._out.append(Dial(self._balancer))
-
-    def _list_entry_addresses(self) -> list[str]:
-        connected = [peer.address for peer in self.peers.values() if peer.stream]
-        return [self.identity.address, *connected]
-
     def _hear_peers(self, view: AgentView | PeerView, message: Peers) -> None:
         del view
         for address in message.entries:
-            self._learn_peer(str(address))
+            self.members.learn_peer(str(address))
         for address in message.agents:
-            self._learn_agent(str(address))
+            self.members.learn_agent(str(address))
 
     def _hear_endpoint(self, view: AgentView, state: EndpointState) -> None:
         if view.service != state.service:
@@ -398,7 +342,7 @@
             service.quota.hear(process, load.demand, self._now)
 
     def _drain(self, event: DrainRequested) -> None:
-        for view in self.agents.values():
+        for view in self.members.agents.values():
             if view.process == event.agent and view.stream is not None:
                 self._send(view.stream, Drain(event.operator))
 
@@ -429,11 +373,11 @@
             return
         self.counts.add("documents_installed")
         self.dispatcher.configure(service)
-        for view in self.agents.values():
+        for view in self.members.agents.values():
             if view.service == service:
                 self._join_pool(view)
         document = Document(service, revision, text)
-        for stream in [*self._agent_streams, *self._peer_streams]:
+        for stream in [*self.members.agent_streams, *self.members.peer_streams]:
             self._send(stream, document)
 
     def _compare(self, view: AgentView | PeerView, revisions: Revisions) -> None:
@@ -454,7 +398,7 @@
         return view.revisions
 
     def _answer_digest(self, stream: int, heartbeat: Heartbeat) -> None:
-        view = self._agent_streams.get(stream) or self._peer_streams.get(stream)
+        view = self.members.find(stream)
         if view is not None:
             view.digest = heartbeat.digest
         if heartbeat.digest != self.catalog.digest:
@@ -464,22 +408,22 @@
 
     def _tick(self, event: Tick) -> None:
         del event
-        self.dispatcher.entries = len(self._list_entry_addresses())
+        self.dispatcher.entries = len(self.members.list_entries())
         self.dispatcher.check_times()
         if self._now < self._next_heartbeat:
             return
         self._next_heartbeat = self._now + self.timing.heartbeat
         self._check_silence()
         self._forget()
-        self._dial_agents()
-        self._dial_peers()
-        self._search()
+        self.members.dial_agents()
+        self.members.dial_peers()
+        self.members.search()
         self._send_heartbeats()
         self.dispatcher.dispatch_all()
 
     def _check_silence(self) -> None:
-        views: list[AgentView | PeerView] = list(self._agent_streams.values())
-        views += self._peer_streams.values()
+        views: list[AgentView | PeerView] = list(self.members.agent_streams.values())
+        views += self.members.peer_streams.values()
         for view in views:
             if self._now - view.heard_at > self.timing.silence:
                 stream = view.stream or 0
@@ -488,7 +432,7 @@
                 self._close(StreamClosed(stream))
 
     def _forget(self) -> None:
-        for view in list(self.agents.values()):
+        for view in list(self.members.agents.values()):
             lost_for = self._now - (view.lost_at or view.heard_at)
             if view.stream is not None:
                 continue
@@ -498,16 +442,14 @@
                 service = self.dispatcher.services.get(view.service)
                 if service is not None and view in service.pool.views:
                     service.pool.views.remove(view)
-                del self.agents[view.address]
-        for peer in list(self.peers.values()):
-            if peer.stream is None and self._now - peer.heard_at > FORGET_SECONDS:
-                del self.peers[peer.address]
+                del self.members.agents[view.address]
+        self.members.forget_peers()
 
     def _send_heartbeats(self) -> None:
-        for stream, view in self._agent_streams.items():
+        for stream, view in self.members.agent_streams.items():
             self._send(stream, self._make_heartbeat(view.acknowledged))
             view.acknowledged = 0
-        for stream in self._peer_streams:
+        for stream in self.members.peer_streams:
             self._send(stream, self._make_heartbeat(0))
             for name, service in self.dispatcher.services.items():
                 backlog = service.queue.measure_backlog()
--- a/src/godwitbank/_internal/operations/entry.py
+++ b/src/godwitbank/_internal/operations/entry.py
@@ -128,7 +128,7 @@
         """Ask an agent to leave; returns whether it is connected."""
         known = any(
             view.process == agent and view.stream is not None
-            for view in self.core.agents.values()
+            for view in self.core.members.agents.values()
         )
         if known:
             self._inbox.put(DrainRequested(agent, operator))
--- a/src/godwitbank/_internal/operations/status.py
+++ b/src/godwitbank/_internal/operations/status.py
@@ -25,7 +25,7 @@
             "ejected": now < view.ejected_until,
             "revisions": core.list_revisions_of(view),
         }
-        for view in core.agents.values()
+        for view in core.members.agents.values()
     ]
     peers = [
         {
@@ -34,7 +34,7 @@
             "connected": peer.stream is not None,
             "revisions": core.list_revisions_of(peer),
         }
-        for peer in core.peers.values()
+        for peer in core.members.peers.values()
     ]
     services = [
         {
