Measure idle processor time in nanoseconds, not ticks

Cause: an idle agent's slope per entry came out negative: its counters come in ticks of 10 ms, and 6 s of idling are a handful of ticks.

Change: read the scheduler's run time of every thread.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -8,7 +8,6 @@
 import argparse
 import asyncio
 import json
-import os
 import statistics
 import tempfile
 import time
@@ -43,7 +42,6 @@
 from godwitbank._internal.network.codec import encode
 
 OUT = Path("docs/measurements")
-TICKS = os.sysconf("SC_CLK_TCK")
 STUB_PROCESSES = 4
 SETTLE_SECONDS = 2.0
 RATES = (250, 500, 1000, 1500, 2000)
@@ -79,9 +77,14 @@
 
 
 def read_cpu(running: Running) -> float:
-    """Read the processor time of a process, in seconds."""
-    fields = Path(f"/proc/{running.process.pid}/stat").read_text().split()
-    return (int(fields[13]) + int(fields[14])) / TICKS
+    """Read the processor time of a process, in seconds.
+
+    From the scheduler's nanoseconds: the usual counters come in ticks of 10 ms,
+    too coarse for a process that idles.
+    """
+    tasks = Path(f"/proc/{running.process.pid}/task").iterdir()
+    times = [int((task / "schedstat").read_text().split()[0]) for task in tasks]
+    return sum(times) / 1e9
 
 
 def read_memory(running: Running) -> float:
