Fail a job while it enters without breaking its entry

A job whose first task is a request id seen before, while no agent is connected to be asked, fails before its other tasks are queued; they counted as waiting from the start, so taking them out of the queue raised, and the whole entry ended. Had it not raised, they would have been queued afterwards and run for nobody.

Ruled out: the same at a deadline (every task has entered by then).

Change: a task is waiting only once it is queued; entering stops when the job has failed.

Before: tests/core/test_dispatch.py's first test failed with the KeyError. After: it passes, with the tests of the queue.

--- a/src/godwitbank/_internal/core/dispatch.py
+++ b/src/godwitbank/_internal/core/dispatch.py
@@ -125,6 +125,10 @@
         heapq.heappush(self._deadlines, (job.deadline, job.submission))
         self._counts.add("submissions")
         for task in job.tasks:
+            if job.submission not in self.jobs:
+                # An earlier task failed the job on its way in; what is queued
+                # now would run for nobody.
+                break
             self._enter(service, task)
         self._write_claims()
         self.dispatch(service)
@@ -172,7 +176,6 @@
                 continue
             service = self.services[task.job.service]
             if won:
-                task.state = TaskState.WAITING
                 service.queue.add(task)
                 self.dispatch(service)
             else:
@@ -371,7 +374,6 @@
         job.started -= 1
         task.refusals += 1
         service = self.services[job.service]
-        task.state = TaskState.WAITING
         service.queue.add(task, front=True)
         if task.refusals > service.document.classes[task.spec.class_name].retries:
             detail = f"agents refused the task {task.refusals} times"
--- a/src/godwitbank/_internal/core/queue.py
+++ b/src/godwitbank/_internal/core/queue.py
@@ -131,6 +131,7 @@
 
     def add(self, task: Task, front: bool = False) -> None:
         """Queue a task."""
+        task.state = TaskState.WAITING
         queue = self._classes[task.spec.class_name]
         if queue.waiting == 0:
             # A class that was idle must not bank the turns it didn't need.
--- a/src/godwitbank/_internal/core/work.py
+++ b/src/godwitbank/_internal/core/work.py
@@ -10,6 +10,7 @@
 class TaskState(Enum):
     """Where a task stands."""
 
+    ENTERING = auto()
     CLAIMING = auto()
     RECALLING = auto()
     WAITING = auto()
@@ -27,7 +28,7 @@
         self.job = job
         self.index = index
         self.spec = spec
-        self.state = TaskState.WAITING
+        self.state = TaskState.ENTERING
         self.attempt = 0
         self.key = TaskKey(job.submission, index, 0)
         self.refusals = 0
--- /dev/null
+++ b/tests/core/test_dispatch.py
@@ -0,0 +1,63 @@
+"""From submission to answer, in one entry's core."""
+
+from godwitbank._internal.core.events import Submitted
+from godwitbank._internal.models.outcomes import Complete, Failed, Ran, Reason
+from godwitbank._internal.models.tasks import Submission, TaskSpec
+from tests.lib.world import World
+
+
+def test_a_job_that_fails_while_it_enters_leaves_nothing_behind() -> None:
+    """A job's first task can't be claimed; the rest wait on.
+
+    Symptom: endpoints run tasks of a job whose caller has been told it failed.
+    Sequence: a request id is used a second time, in a job with other tasks, while
+    no agent is connected to be asked about it; then the agent comes back.
+    Cause: the job failed at its first task, and the others were queued after.
+    """
+    world = World(entries=1, agents=1)
+    world.submit("entry-0", 1, "k1")
+    world.settle(4)
+    for key in list(world.running["agent-0"]):
+        world.end_run("agent-0", key)
+    world.settle(2)
+    world.processes["agent-0"].paused = True
+    for number, wire in list(world.wires.items()):
+        if wire.ends[1].name == "agent-0" and not any(wire.closed):
+            world.reset(number, 0)
+    tasks = (TaskSpec("renewal", b"", "k1"), TaskSpec("size-change", b"x"))
+    job = Submission("job", "desk", tasks, world.now + 20)
+    world.submissions["job"] = job
+    world.post(world.processes["entry-0"], Submitted(job))
+    failed = world.answers["job"]
+    assert isinstance(failed, Failed)
+    assert failed.reason is Reason.DUPLICATE_REQUEST
+    world.wake("agent-0")
+    world.settle()
+    assert world.starts[("job", 1)] == 0
+    assert (
+        world.processes["entry-0"].core.dispatcher.services["desk"].queue.waiting == 0
+    )
+
+
+def test_a_refused_start_goes_to_another_agent() -> None:
+    world = World(entries=1, agents=2)
+    world.leave("agent-0")
+    name = world.submit("entry-0", 4)
+    for _ in range(8):
+        world.settle(2)
+        for key in list(world.running["agent-1"]):
+            world.end_run("agent-1", key)
+    assert isinstance(world.answers[name], Complete)
+
+
+def test_a_lost_agent_makes_the_outcome_unknown() -> None:
+    world = World(entries=1, agents=1)
+    name = world.submit("entry-0", 1)
+    world.settle(1)
+    assert world.running["agent-0"]
+    world.kill("agent-0")
+    world.settle(40)
+    failed = world.answers[name]
+    assert isinstance(failed, Failed)
+    assert failed.reason is Reason.OUTCOME_UNKNOWN
+    assert failed.ran is Ran.MAY_HAVE_RUN
