--- a/tests/core/test_exploration.py
+++ b/tests/core/test_exploration.py
@@ -41,9 +41,9 @@
     def submit_job(self, entry: str, count: int) -> None:
         self.world.submit(entry, count)
 
-    @rule(entry=ENTRIES, key=KEYS)
-    def submit_request(self, entry: str, key: str) -> None:
-        self.world.submit(entry, 1, key)
+    @rule(entry=ENTRIES, key=KEYS, count=st.integers(1, 3))
+    def submit_with_key(self, entry: str, key: str, count: int) -> None:
+        self.world.submit(entry, count, key)
 
     @rule(pick=PICK, times=st.integers(1, 30), repeat=st.booleans())
     def deliver(self, pick: int, times: int, repeat: bool) -> None:
@@ -164,7 +164,7 @@
         Counted.examples += 1
 
 
-def _explore(examples: int = 1000) -> None:
+def _explore(examples: int = 3000) -> None:
     # Without shrinking: that a broken rule is noticed is what counts here.
     run_state_machine_as_test(
         Counted,
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -354,12 +354,13 @@
     # Work
 
     def submit(self, entry: str, count: int, key: str = "") -> str:
-        """Submit a job of idempotent tasks, or one request with a key."""
+        """Submit a job; with a key, its first task is not idempotent."""
         self.numbers += 1
         name = f"s{self.numbers}"
-        kind = "renewal" if key else "size-change"
         tasks = tuple(
-            TaskSpec(kind, f"{key or name}:{position}".encode(), key)
+            TaskSpec("renewal", key.encode(), key)
+            if key and not position
+            else TaskSpec("size-change", f"{name}:{position}".encode())
             for position in range(count)
         )
         submission = Submission(name, "desk", tasks, self.now + 20)
