Say hello, start daemons and refuse bad HTTP in one place each

Cause: the frame a process introduces itself with was built in three places, the two daemons' entry points were the same but for names, the agent's HTTP face imported a private function of the entry's.

Change: make_hello, one frame for both daemons, handle_http_error beside the other problems.

--- a/bench/stubs.py
+++ b/bench/stubs.py
@@ -21,7 +21,7 @@
     RunTask,
     Send,
 )
-from godwitbank._internal.core.identity import Identity, Timing
+from godwitbank._internal.core.identity import Identity, Timing, make_hello
 from godwitbank._internal.models.messages import (
     PROTOCOL_VERSION,
     Ending,
@@ -50,14 +50,7 @@
         self.inbox = Inbox(
             self.core, self.perform, lambda: self.core.next_wakeup, time.monotonic
         )
-        self.greeting = Hello(
-            PROTOCOL_VERSION,
-            Role.AGENT,
-            identity.process,
-            identity.incarnation,
-            address,
-            "a",
-        )
+        self.greeting = make_hello(identity, Role.AGENT)
         events = StreamEvents(self.inbox.put, self.core.counts.add)
         self.streams = StreamTable(events, self.greeting)
 
--- a/src/godwitbank/_internal/cli/entrypoints.py
+++ b/src/godwitbank/_internal/cli/entrypoints.py
@@ -1,6 +1,8 @@
 """Entry points of the three programs."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from absl import flags
 
@@ -41,39 +43,38 @@
 
 def run_entry() -> None:
     """Run ``godwitbank-entry``."""
-    program = Program(
-        "godwitbank-entry",
-        "accept jobs and requests, and dispatch them to agents",
-        "godwitbank-entry --settings=FILE",
-    )
-    program.define_string("settings", None, "TOML file of settings.")
+    summary = "accept jobs and requests, and dispatch them to agents"
 
-    def main(values: flags.FlagValues, arguments: list[str]) -> Status:
+    async def serve(path: str) -> None:
         from godwitbank._internal.models.settings import EntrySettings, load_settings
         from godwitbank._internal.operations.entry import EntryProcess
 
-        path = _require_settings(values, arguments)
-        asyncio.run(EntryProcess(load_settings(path, EntrySettings)).run())
-        return Status.SUCCESS
+        await EntryProcess(load_settings(path, EntrySettings)).run()
 
-    program.run(main)
+    _run_daemon("godwitbank-entry", summary, serve)
 
 
 def run_agent() -> None:
     """Run ``godwitbank-agent``."""
-    program = Program(
-        "godwitbank-agent",
-        "stand beside one endpoint and start its tasks, each at most once",
-        "godwitbank-agent --settings=FILE",
-    )
-    program.define_string("settings", None, "TOML file of settings.")
+    summary = "stand beside one endpoint and start its tasks, each at most once"
 
-    def main(values: flags.FlagValues, arguments: list[str]) -> Status:
+    async def serve(path: str) -> None:
         from godwitbank._internal.models.settings import AgentSettings, load_settings
         from godwitbank._internal.operations.agent import AgentProcess
 
-        path = _require_settings(values, arguments)
-        asyncio.run(AgentProcess(load_settings(path, AgentSettings)).run())
+        await AgentProcess(load_settings(path, AgentSettings)).run()
+
+    _run_daemon("godwitbank-agent", summary, serve)
+
+
+def _run_daemon(
+    name: str, summary: str, serve: Callable[[str], Coroutine[Any, Any, None]]
+) -> None:
+    program = Program(name, summary, f"{name} --settings=FILE")
+    program.define_string("settings", None, "TOML file of settings.")
+
+    def main(values: flags.FlagValues, arguments: list[str]) -> Status:
+        asyncio.run(serve(_require_settings(values, arguments)))
         return Status.SUCCESS
 
     program.run(main)
--- a/src/godwitbank/_internal/core/entry.py
+++ b/src/godwitbank/_internal/core/entry.py
@@ -22,7 +22,7 @@
     TableSeen,
     Tick,
 )
-from godwitbank._internal.core.identity import Identity, Timing
+from godwitbank._internal.core.identity import Identity, Timing, make_hello
 from godwitbank._internal.core.membership import FORGET_SECONDS, Membership
 from godwitbank._internal.core.peers import PeerView
 from godwitbank._internal.core.pool import AgentView, ToldDemand
@@ -158,7 +158,7 @@
 
     def _accept(self, stream: int, hello: Hello) -> None:
         self._inbound[stream] = hello
-        self._send(stream, self._make_hello())
+        self._send(stream, make_hello(self.identity, Role.ENTRY))
         if hello.role == Role.AGENT:
             self.members.learn_agent(hello.address)
             self._send(stream, Peers(self.members.list_entries(), []))
@@ -458,17 +458,6 @@
             if hello.role == Role.ENTRY:
                 self._send(stream, self._make_heartbeat(0))
 
-    def _make_hello(self) -> Hello:
-        identity = self.identity
-        return Hello(
-            PROTOCOL_VERSION,
-            Role.ENTRY,
-            identity.process,
-            identity.incarnation,
-            identity.address,
-            identity.zone,
-        )
-
     def _make_heartbeat(self, acknowledged: int) -> Heartbeat:
         return Heartbeat(self._now, self.catalog.digest, acknowledged, 0.0, 0, 0)
 
--- a/src/godwitbank/_internal/core/identity.py
+++ b/src/godwitbank/_internal/core/identity.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from godwitbank._internal.models.messages import PROTOCOL_VERSION, Hello
+
 
 class Identity(NamedTuple):
     """Who a process is.
@@ -16,6 +18,18 @@
     zone: str
 
 
+def make_hello(identity: Identity, role: str) -> Hello:
+    """Make the frame with which a process introduces itself."""
+    return Hello(
+        PROTOCOL_VERSION,
+        role,
+        identity.process,
+        identity.incarnation,
+        identity.address,
+        identity.zone,
+    )
+
+
 class Timing(NamedTuple):
     """Periods shared by both cores, in seconds."""
 
--- a/src/godwitbank/_internal/http/agent.py
+++ b/src/godwitbank/_internal/http/agent.py
@@ -5,8 +5,11 @@
 from litestar import Litestar, Response, delete, get, put
 from litestar.exceptions import HTTPException
 
-from godwitbank._internal.http.entry import METRICS_TYPE, _handle_http_error
-from godwitbank._internal.http.problems import make_fault
+from godwitbank._internal.http.problems import (
+    METRICS_TYPE,
+    handle_http_error,
+    make_fault,
+)
 from godwitbank._internal.models.document import MAX_SLOTS
 
 if TYPE_CHECKING:
@@ -75,7 +78,7 @@
 
     return Litestar(
         route_handlers=[announce, leave, show, show_health, show_metrics],
-        exception_handlers={HTTPException: _handle_http_error},
+        exception_handlers={HTTPException: handle_http_error},
         openapi_config=None,
         logging_config=None,
     )
--- a/src/godwitbank/_internal/http/entry.py
+++ b/src/godwitbank/_internal/http/entry.py
@@ -20,7 +20,12 @@
     parse_job,
     parse_request,
 )
-from godwitbank._internal.http.problems import make_fault, make_problem
+from godwitbank._internal.http.problems import (
+    METRICS_TYPE,
+    handle_http_error,
+    make_fault,
+    make_problem,
+)
 from godwitbank._internal.models.document import ServiceDocument
 from godwitbank._internal.models.outcomes import Complete, Failed, Outcome
 from godwitbank._internal.operations.registry import Application
@@ -30,7 +35,6 @@
     from godwitbank._internal.operations.entry import EntryProcess
 
 MAX_DOCUMENT = 256 * 1024
-METRICS_TYPE = "text/plain; version=0.0.4"
 Header = Annotated[str, HeaderParameter(name="Idempotency-Key")]
 
 
@@ -190,13 +194,6 @@
     return [show_health, show_ready, show_metrics]
 
 
-def _handle_http_error(request: Request, error: HTTPException) -> Response[bytes]:
-    del request
-    names = {413: "body_too_large", 404: "not_found", 405: "method_not_allowed"}
-    name = names.get(error.status_code, "bad_request")
-    return make_fault(error.status_code, name, error.detail, "see /schema")
-
-
 def _handle_caller_gone(request: Request, error: CallerGoneError) -> Response[bytes]:
     del request, error
     return Response(b"", status_code=499)
@@ -220,8 +217,8 @@
         request_max_body_size=process.settings.max_body,
         after_request=add_connection_header,
         exception_handlers={
-            ClientException: _handle_http_error,
-            HTTPException: _handle_http_error,
+            ClientException: handle_http_error,
+            HTTPException: handle_http_error,
             CallerGoneError: _handle_caller_gone,
         },
         openapi_config=OpenAPIConfig(title="godwitbank", version=__version__),
--- a/src/godwitbank/_internal/http/problems.py
+++ b/src/godwitbank/_internal/http/problems.py
@@ -4,11 +4,13 @@
 from typing import TypedDict
 
 import msgspec
-from litestar import Response
+from litestar import Request, Response
+from litestar.exceptions import HTTPException
 
 from godwitbank._internal.models.outcomes import Failed, Ran, Reason
 
 MEDIA_TYPE = "application/problem+json"
+METRICS_TYPE = "text/plain; version=0.0.4"
 TYPE_PREFIX = "urn:godwitbank:problem:"
 
 
@@ -93,6 +95,14 @@
     return _respond(body, status, {})
 
 
+def handle_http_error(request: Request, error: HTTPException) -> Response[bytes]:
+    """Turn the framework's own refusals into problem details."""
+    del request
+    names = {413: "body_too_large", 404: "not_found", 405: "method_not_allowed"}
+    name = names.get(error.status_code, "bad_request")
+    return make_fault(error.status_code, name, error.detail, "see /schema")
+
+
 def _respond(
     body: dict[str, object], status: int, headers: dict[str, str]
 ) -> Response[bytes]:
--- a/src/godwitbank/_internal/operations/agent.py
+++ b/src/godwitbank/_internal/operations/agent.py
@@ -22,13 +22,11 @@
     Send,
     StopRequested,
 )
-from godwitbank._internal.core.identity import Identity, Timing
+from godwitbank._internal.core.identity import Identity, Timing, make_hello
 from godwitbank._internal.exceptions import FrameError
 from godwitbank._internal.http.agent import make_app
 from godwitbank._internal.models.messages import (
-    PROTOCOL_VERSION,
     Ending,
-    Hello,
     Message,
     Peers,
     Role,
@@ -69,14 +67,7 @@
         self._inbox = Inbox(
             self.core, self._perform, lambda: self.core.next_wakeup, time.monotonic
         )
-        self._greeting = Hello(
-            PROTOCOL_VERSION,
-            Role.AGENT,
-            identity.process,
-            identity.incarnation,
-            identity.address,
-            identity.zone,
-        )
+        self._greeting = make_hello(identity, Role.AGENT)
         events = StreamEvents(self._inbox.put, self.core.counts.add)
         self._streams = StreamTable(events, self._greeting)
 
--- a/src/godwitbank/_internal/operations/entry.py
+++ b/src/godwitbank/_internal/operations/entry.py
@@ -27,10 +27,10 @@
     TableSeen,
     WriteClaims,
 )
-from godwitbank._internal.core.identity import Identity, Timing
+from godwitbank._internal.core.identity import Identity, Timing, make_hello
 from godwitbank._internal.exceptions import TableError
 from godwitbank._internal.http.entry import make_app
-from godwitbank._internal.models.messages import PROTOCOL_VERSION, Hello, Message, Role
+from godwitbank._internal.models.messages import Message, Role
 from godwitbank._internal.models.outcomes import Failed, Outcome, Ran, Reason
 from godwitbank._internal.models.settings import EntrySettings
 from godwitbank._internal.models.tasks import Submission, TaskSpec
@@ -69,14 +69,7 @@
         self._inbox = Inbox(
             self.core, self._perform, lambda: self.core.next_wakeup, time.monotonic
         )
-        greeting = Hello(
-            PROTOCOL_VERSION,
-            Role.ENTRY,
-            identity.process,
-            identity.incarnation,
-            identity.address,
-            identity.zone,
-        )
+        greeting = make_hello(identity, Role.ENTRY)
         events = StreamEvents(self._inbox.put, self.core.counts.add)
         self._streams = StreamTable(events, greeting)
         self._callers: dict[str, asyncio.Future[Outcome]] = {}
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,6 +18,7 @@
 import httpx
 
 ROOT = Path(__file__).parent.parent
+ENTRYPOINT = "from godwitbank._internal.cli.entrypoints import run_{0}; run_{0}()"
 WAIT_SECONDS = 30.0
 POLL_SECONDS = 0.02
 _next_port = [0]
@@ -232,18 +233,15 @@
     ) -> Any:
         path = self.folder / f"{name}.toml"
         path.write_text(render_toml(settings))
-        code = (
-            f"from godwitbank._internal.cli.entrypoints import run_{role}; run_{role}()"
-        )
         flags = (f"--settings={path}", "--log_format=json")
         if baseline:
             return self._run(name, "-m", "bench.baselines", baseline, *flags)
-        return self._run(name, "-c", code, *flags)
+        return self._run(name, "-c", ENTRYPOINT.format(role), *flags)
 
     def restart_agent(self, agent: Running) -> Running:
         """Start an agent again with its old settings and address."""
         path = self.folder / f"{agent.name}.toml"
-        code = "from godwitbank._internal.cli.entrypoints import run_agent; run_agent()"
+        code = ENTRYPOINT.format("agent")
         process = self._run(agent.name, "-c", code, f"--settings={path}")
         running = agent._replace(process=process)
         self.agents[self.agents.index(agent)] = running
@@ -279,10 +277,7 @@
 
     def operate(self, *arguments: str, entry: int = 0) -> subprocess.CompletedProcess:
         """Run an operator's command against an entry."""
-        code = (
-            "from godwitbank._internal.cli.entrypoints import run_operator;"
-            "run_operator()"
-        )
+        code = ENTRYPOINT.format("operator")
         address = f"--entry=127.0.0.1:{self.entries[entry].http}"
         return subprocess.run(
             [sys.executable, "-c", code, *arguments, address, "--verbosity=warning"],
