--- a/src/godwitbank/_internal/core/service.py
+++ b/src/godwitbank/_internal/core/service.py
@@ -15,9 +15,6 @@
 PEER_LAPSE = 3.0
 """Seconds after which a peer's word about its backlog is out of date."""
 
-LAST_CALL = 2.0
-"""Ideal responses before its deadline from which on nothing passes a submission."""
-
 SAFETY = 0.9
 """Part of the time to a deadline that admission may count on."""
 
@@ -81,15 +78,9 @@
         return max(max(means), sum(means) / slots)
 
     def rank(self, submission: Submission, now: float) -> float:
-        """Set the time before which nobody passes a submission.
-
-        However large it is, it must not be passed over until its deadline can't
-        be met: its slots' time would be spent for an answer nobody gets.
-        """
-        ideal = self.estimate_ideal(submission, now)
-        stretched = now + self.document.policy.stretch * ideal
-        latest = submission.deadline - LAST_CALL * ideal
-        return max(now, min(stretched, latest))
+        """Set the time before which nobody passes a submission."""
+        stretch = self.document.policy.stretch
+        return now + stretch * self.estimate_ideal(submission, now)
 
     def estimate_wait(self, rank: float, now: float) -> float:
         """Estimate how long work of a rank would wait, in seconds.
