--- /dev/null
+++ b/deploy/launch.py
@@ -0,0 +1,15 @@
+"""Starts one of the programs from this checkout.
+
+The package is run from here, not installed: an installed copy could be an older
+one. Usage: ``python3 deploy/launch.py entry`` or ``agent``.
+"""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from godwitbank._internal.cli.entrypoints import run_on_platform  # noqa: E402
+
+if __name__ == "__main__":
+    run_on_platform()
--- a/src/godwitbank/_internal/cli/entrypoints.py
+++ b/src/godwitbank/_internal/cli/entrypoints.py
@@ -88,3 +88,24 @@
         )
     path: str = values.settings
     return path
+
+
+def run_on_platform() -> None:
+    """Run the entry or the agent as the platform starts it."""
+    program = Program(
+        "launch", "run one of the daemons on the platform", "launch.py entry|agent"
+    )
+
+    def main(values: flags.FlagValues, arguments: list[str]) -> Status:
+        del values
+        from godwitbank._internal.platform import programs
+
+        serve = {"entry": programs.serve_entry, "agent": programs.serve_agent}
+        if len(arguments) != 1 or arguments[0] not in serve:
+            raise UsageError(
+                "which program?", remedy="give 'entry' or 'agent', and nothing else"
+            )
+        asyncio.run(serve[arguments[0]]())
+        return Status.SUCCESS
+
+    program.run(main)
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about leased runs, free of input and output."""
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -0,0 +1,343 @@
+"""Jobs of leased runs at one entry: queueing, placing, retries, results."""
+
+from collections.abc import Callable
+from random import Random
+
+from godwitbank._internal.core.counters import Counts
+from godwitbank._internal.core.events import Send
+from godwitbank._internal.core.runs.admission import Admission
+from godwitbank._internal.core.runs.estimates import Estimates
+from godwitbank._internal.core.runs.events import Answer, Note, RunAction
+from godwitbank._internal.core.runs.fleet import AgentView, Fleet
+from godwitbank._internal.core.runs.ownership import LAPSE_SECONDS
+from godwitbank._internal.core.runs.placement import choose_place
+from godwitbank._internal.core.runs.waiting import WaitingTasks
+from godwitbank._internal.core.runs.work import Job, Task, TaskState
+from godwitbank._internal.models.jobs import JobEnd, JobResult, RunEnd
+from godwitbank._internal.models.run_messages import (
+    RunBegun,
+    RunOutcome,
+    StartRun,
+    StopRun,
+)
+
+LOOKAHEAD = 8
+"""Waiting tasks looked at in one go; behind that many that found no place the
+rest is as unlikely to find one."""
+
+COME_BACK = 1.0
+"""Seconds after which a caller that was refused may try again."""
+
+_NOT_STARTED = {
+    RunEnd.NOT_STARTED,
+    RunEnd.CLOSED,
+    RunEnd.SUPERSEDED,
+    RunEnd.UNHEALTHY,
+    RunEnd.INVALID,
+}
+
+
+class Dispatcher:
+    """Places tasks at agents and turns their outcomes into results."""
+
+    def __init__(self, zone: str, rng: Random, counts: Counts) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.fleet = Fleet()
+        self.estimates = Estimates()
+        self.admission = Admission()
+        self._zone = zone
+        self._rng = rng
+        self._counts = counts
+        self._waiting: dict[str, WaitingTasks] = {}
+        self._limbo: list[Task] = []
+        self._now = 0.0
+        self._out: Callable[[RunAction], None] = lambda action: None
+
+    def begin(self, now: float, out: Callable[[RunAction], None]) -> None:
+        """Prepare for one event."""
+        self._now = now
+        self._out = out
+
+    def _note(self, event: str, request: str, **fields: object) -> None:
+        self._out(Note(event, request, fields))
+
+    # Jobs
+
+    def submit(self, job: Job) -> None:
+        """Take a job, or refuse it at once if it can't be served in time."""
+        guesses = [step.estimate for step in job.spec.steps]
+        name = job.queue.name
+        job.lay_out([self.estimates.expect(name, guess) for guess in guesses])
+        refusal = self._find_refusal(job)
+        if refusal is not None:
+            self.refuse(job, refusal)
+            return
+        self.jobs[job.spec.job] = job
+        self._counts.add("jobs_accepted")
+        self._note(
+            "job_accepted",
+            job.spec.job,
+            queue=name,
+            priority=job.queue.priority,
+            tasks=sum(job.left),
+            objective=round(job.objective, 3),
+        )
+        for task in job.list_ready():
+            self._get_waiting(job).add(task)
+        self.dispatch(job.queue.service)
+
+    def _find_refusal(self, job: Job) -> str | None:
+        service = job.queue.service
+        views = self.fleet.list_open(service)
+        for step in job.spec.steps:
+            if views and not any(step.needs.fits(view.capacity) for view in views):
+                return "too_large"
+        capacity = self.fleet.measure_capacity(service)
+        waiting = self._get_waiting(job)
+        return self.admission.judge(job, waiting, capacity, self._now)
+
+    def refuse(self, job: Job, reason: str) -> None:
+        """Answer that a job has not run and was not taken."""
+        self._counts.add("jobs_refused", reason)
+        self._note("job_refused", job.spec.job, queue=job.queue.name, reason=reason)
+        result = JobResult(job.spec.job, JobEnd.REFUSED, reason, False, COME_BACK)
+        for caller in job.callers:
+            self._out(Answer(caller, result))
+
+    def _get_waiting(self, job: Job) -> WaitingTasks:
+        return self._waiting.setdefault(job.queue.service, WaitingTasks())
+
+    def measure_backlog(self) -> float:
+        """Tell the core-seconds of work that waits here."""
+        return sum(waiting.work for waiting in self._waiting.values())
+
+    def give_up(self, job: Job, reason: str) -> None:
+        """End a job without its being done; what runs of it is stopped."""
+        if job.ending:
+            return
+        end = JobEnd.GIVEN_UP if job.ran else JobEnd.REFUSED
+        self._counts.add("jobs_given_up", reason)
+        self._finish(job, JobResult(job.spec.job, end, reason, job.ran, COME_BACK))
+
+    def _finish(self, job: Job, result: JobResult) -> None:
+        job.ending = True
+        for caller in job.callers:
+            self._out(Answer(caller, result))
+        job.callers = []
+        self._note(
+            "job_ended",
+            job.spec.job,
+            end=result.end,
+            reason=result.reason,
+            s=round(self._now - job.arrival, 4),
+            objective=round(job.objective, 3),
+        )
+        self._counts.add("jobs_ended", result.end)
+        for step in job.tasks:
+            for task in step:
+                self._abandon(task)
+        self._check_gone(job)
+
+    def _abandon(self, task: Task) -> None:
+        if task.state is TaskState.WAITING:
+            self._get_waiting(task.job).drop(task)
+            task.state = TaskState.DONE
+        elif task.state is TaskState.BLOCKED:
+            task.state = TaskState.DONE
+        elif task.state is TaskState.SENT:
+            view = self.fleet.find(task.agent)
+            if view is not None:
+                self._counts.add("stops_sent")
+                self._out(Send(view.stream, StopRun(task.name, task.run)))
+
+    def _check_gone(self, job: Job) -> None:
+        """Forget an ended job once nothing of it can run any more."""
+        if job.ending and not job.list_open() and not job.ended:
+            job.ended = True
+            self.jobs.pop(job.spec.job, None)
+
+    # Placing
+
+    def dispatch(self, service: str) -> None:
+        """Send waiting tasks to agents that have room."""
+        waiting = self._waiting.get(service)
+        if waiting is None or not waiting.count:
+            return
+        views = self.fleet.list_open(service)
+        unplaced: list[Task] = []
+        while views and len(unplaced) < LOOKAHEAD:
+            tasks = waiting.take(1)
+            if not tasks:
+                break
+            task = tasks[0]
+            place = choose_place(task, views, self._zone, self._rng, self._now)
+            if place is None:
+                unplaced.append(task)
+                continue
+            waiting.drop(task)
+            self._send(task, place.view, place.parked)
+        waiting.put_back(unplaced)
+
+    def _send(self, task: Task, view: AgentView, parked: bool) -> None:
+        task.state = TaskState.SENT
+        task.run += 1
+        task.agent = view.address
+        task.sent_at = self._now
+        task.job.ran = True
+        view.add(task, parked)
+        rules = task.rules
+        self._counts.add("runs_sent", "parked" if parked else "placed")
+        self._note("run_sent", task.name, run=task.run, agent=view.address, park=parked)
+        order = StartRun(
+            task.name,
+            task.run,
+            task.job.spec.payload,
+            *rules.needs,
+            task.job.rank - self._now,
+            task.expected * view.health.factor(),
+            rules.spread,
+            task.checkpoint,
+        )
+        self._out(Send(view.stream, order))
+
+    # Outcomes
+
+    def hear_begun(self, view: AgentView, message: RunBegun) -> None:
+        """Note that a run no longer waits at its agent."""
+        task = view.tasks.get(message.task)
+        if task is not None and task.run == message.run:
+            view.begin(task)
+            self.dispatch(view.service)
+
+    def hear_outcome(self, view: AgentView, message: RunOutcome) -> None:
+        """Act on the end of a run."""
+        task = self._find_task(view, message)
+        if task is None:
+            self._counts.add("outcomes_dropped")
+            return
+        view.remove(task)
+        task.agent = ""
+        end = RunEnd(message.end)
+        self._counts.add("outcomes", end)
+        self._judge(view, task, end, message.elapsed)
+        if message.checkpoint:
+            task.checkpoint = message.checkpoint
+        self._settle(task, end, view.address)
+        self.dispatch(view.service)
+
+    def _find_task(self, view: AgentView, message: RunOutcome) -> Task | None:
+        task = view.tasks.get(message.task)
+        if task is None:
+            # Told on a new stream: the run was left in limbo on the old one.
+            for limbo in self._limbo:
+                if limbo.name == message.task and limbo.agent == view.address:
+                    task = limbo
+        if task is None or task.run != message.run:
+            return None
+        if task in self._limbo:
+            self._limbo.remove(task)
+        return task
+
+    def _judge(self, view: AgentView, task: Task, end: RunEnd, elapsed: float) -> None:
+        if end is RunEnd.DONE:
+            view.health.note_done(elapsed, task.expected)
+            self.estimates.observe(task.job.queue.name, elapsed)
+        elif end in (RunEnd.FAILED, RunEnd.STALLED, RunEnd.UNHEALTHY):
+            ejected = view.health.note_failed(task.job.spec.job, self._now)
+            if ejected:
+                self._counts.add("ejections")
+                self._note("agent_ejected", task.name, agent=view.address, end=end)
+
+    def _settle(self, task: Task, end: RunEnd, agent: str) -> None:
+        job = task.job
+        if job.ending:
+            task.state = TaskState.DONE
+            self._check_gone(job)
+        elif end is RunEnd.DONE:
+            self._complete(task)
+        elif end is RunEnd.FAILED:
+            self._fail(task, agent)
+        elif end is RunEnd.INVALID:
+            task.state = TaskState.DONE
+            result = JobResult(job.spec.job, JobEnd.FAILED, "invalid", True)
+            self._finish(job, result)
+        else:
+            if end not in _NOT_STARTED or end is RunEnd.UNHEALTHY:
+                task.avoid.add(agent)
+            self._requeue(task)
+
+    def _complete(self, task: Task) -> None:
+        job = task.job
+        task.state = TaskState.DONE
+        job.left[task.step] -= 1
+        if not any(job.left):
+            result = JobResult(job.spec.job, JobEnd.COMPLETED, "", True)
+            self._finish(job, result)
+            return
+        if job.left[task.step] == 0:
+            for ready in job.list_ready():
+                self._get_waiting(job).add(ready)
+
+    def _fail(self, task: Task, agent: str) -> None:
+        job = task.job
+        task.failures += 1
+        task.avoid.add(agent)
+        self._counts.add("task_retries", "failed")
+        if task.failures < job.queue.max_attempts:
+            self._requeue(task)
+            return
+        task.state = TaskState.DONE
+        result = JobResult(job.spec.job, JobEnd.FAILED, "attempts", True)
+        self._finish(job, result)
+
+    def _requeue(self, task: Task) -> None:
+        self._get_waiting(task.job).add(task)
+
+    # Agents that come and go
+
+    def lose_view(self, view: AgentView) -> None:
+        """Leave the runs of an agent without a stream in limbo."""
+        self.fleet.views.pop(view.stream, None)
+        for task in list(view.tasks.values()):
+            view.remove(task)
+            task.state = TaskState.LIMBO
+            task.free_at = self._now + LAPSE_SECONDS
+            self._limbo.append(task)
+
+    def reconcile(self, view: AgentView, held: list[str]) -> None:
+        """Compare limbo with what an agent still holds, on its new stream."""
+        names = set(held)
+        for task in [each for each in self._limbo if each.agent == view.address]:
+            if task.name in names:
+                self._limbo.remove(task)
+                task.state = TaskState.SENT
+                view.tasks[task.name] = task
+            elif view.news is not None and view.news.settled:
+                self._release(task)
+
+    def settle_agent(self, view: AgentView) -> None:
+        """Free what was in limbo at an agent that was started anew."""
+        for task in [each for each in self._limbo if each.agent == view.address]:
+            self._release(task)
+
+    def _release(self, task: Task) -> None:
+        self._limbo.remove(task)
+        self._counts.add("limbo_released")
+        self._note("run_lost", task.name, run=task.run, agent=task.agent)
+        agent = task.agent
+        task.agent = ""
+        self._settle(task, RunEnd.LOST, agent)
+
+    def check_times(self) -> None:
+        """Act on deadlines and on runs that must have lapsed by now."""
+        for task in [each for each in self._limbo if each.free_at <= self._now]:
+            self._release(task)
+        for job in list(self.jobs.values()):
+            if job.ending:
+                continue
+            if job.deadline <= self._now:
+                self.give_up(job, "deadline")
+            elif not job.ran and self.admission.is_hopeless(job, self._now):
+                self.give_up(job, "too_late")
+        for service in self._waiting:
+            self.dispatch(service)
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/endpoint.py
@@ -0,0 +1,226 @@
+"""What an agent believes of the endpoint beside it, and the orders it gives."""
+
+from typing import NamedTuple
+
+from godwitbank._internal.core.runs.events import Renew, Start, Stop
+from godwitbank._internal.core.runs.lease import MAX_LEASE, EndpointClock
+from godwitbank._internal.models.jobs import EndpointReport
+from godwitbank._internal.models.resources import Resources
+from godwitbank._internal.models.run_messages import StartRun
+
+RENEWAL_WAIT = 0.25
+"""Seconds an endpoint may hold a renewal back to answer with an end.
+
+A quarter of the longest lease: two renewals in a row may get lost.
+"""
+
+RENEWAL_PAUSE = 0.03
+"""Seconds before a renewal that failed is tried again."""
+
+DEAF_RENEWALS = 2
+"""Renewals without an answer after which an endpoint gets nothing new."""
+
+REPORT_SILENCE = 5.0
+"""Seconds without a report after which an endpoint counts as gone (three
+reports, 1.5 s apart, may be lost)."""
+
+
+class Unknown(NamedTuple):
+    """A run that the endpoint has and this agent didn't start."""
+
+    task: str
+    run: int
+
+
+class Change(NamedTuple):
+    """What a report changed.
+
+    :param replaced: another boot of the endpoint reports now.
+    """
+
+    any: bool
+    replaced: bool
+
+
+class Endpoint:
+    """Identity, clock, lease and fencing token of one endpoint."""
+
+    def __init__(self, now: float) -> None:
+        self.instance = ""
+        self.service = ""
+        self.capacity = Resources()
+        self.labels: tuple[str, ...] = ()
+        self.draining = False
+        self.clock = EndpointClock()
+        self.token = 0
+        self.settled = False
+        self.reporting = False
+        self._reported_at = now
+        self._sequence = 0
+        self._former: set[str] = set()
+        self._inherits = True
+        self._unanswered = 0
+        self._seen = 0
+        self._renewals: dict[int, Renewal] = {}
+        self._next_renewal = 0
+        self._renew_at = now
+        self._confirmed_token = 0
+        self._now = now
+
+    @property
+    def open(self) -> bool:
+        """Whether it may get new runs."""
+        ready = self.settled and self.reporting and self._unanswered < DEAF_RENEWALS
+        return bool(self.instance) and ready and not self.draining
+
+    def hear_report(self, report: EndpointReport, now: float) -> Change:
+        """Take a report; one of an earlier boot that was delayed is ignored."""
+        if report.instance in self._former:
+            return Change(False, False)
+        replaced = self.instance not in ("", report.instance)
+        if replaced:
+            self.forget()
+        if report.instance == self.instance and report.sequence <= self._sequence:
+            return Change(False, False)
+        first = not self.instance or not self.reporting
+        changes = first or report.draining != self.draining
+        self.instance = report.instance
+        self.service = report.service
+        self.capacity = report.capacity
+        self.labels = report.labels
+        self.draining = report.draining
+        self._sequence = report.sequence
+        self._reported_at = now
+        self.reporting = True
+        self.clock.hear(report.clock, now)
+        if not self.token:
+            self.raise_token(now)
+        return Change(changes, replaced)
+
+    def forget(self) -> None:
+        """Forget a boot of the endpoint that has ended."""
+        if self.instance:
+            self._former.add(self.instance)
+        self.instance = ""
+        self.draining = False
+        self.clock.reset()
+        self.token = 0
+        self.settled = False
+        self.reporting = False
+        self._inherits = True
+        self._unanswered = 0
+        self._sequence = 0
+        self._seen = 0
+        self._renewals.clear()
+        self._confirmed_token = 0
+
+    def expire(self, now: float) -> bool:
+        """Stop offering an endpoint that has not reported for long."""
+        if self.reporting and now - self._reported_at > REPORT_SILENCE:
+            self.reporting = False
+            return True
+        return False
+
+    def raise_token(self, now: float) -> None:
+        """Choose a token above all before it.
+
+        A restarted agent knows no former token; the endpoint's clock rises
+        within its boot, so a token taken from it is above any taken earlier.
+        """
+        self.token = max(self.token + 1, self.clock.read(now))
+        self._renew_at = now
+
+    # Orders
+
+    def make_start(self, order: StartRun, now: float) -> Start:
+        """Make the order to start a run."""
+        return Start(
+            self.instance,
+            order.task,
+            order.run,
+            order.payload,
+            self.clock.grant(now),
+            self.token,
+            order.checkpoint,
+        )
+
+    def make_stop(self, task: str, run: int) -> Stop:
+        """Make the order to stop a run."""
+        return Stop(self.instance, task, run, self.token)
+
+    def list_renewals(self, now: float, busy: bool) -> list[Renew]:
+        """List the lease renewals to send now.
+
+        One waits at the endpoint for an end at any time while something runs;
+        a raised token is made known at once by a second that doesn't wait.
+        """
+        self._now = now
+        if not self.instance or now < self._renew_at:
+            return []
+        urgent = self.token > self._confirmed_token
+        if urgent:
+            if any(each.token == self.token for each in self._renewals.values()):
+                return []
+            return [self._renew(now, 0)]
+        if not busy or self._renewals:
+            return []
+        return [self._renew(now, int(RENEWAL_WAIT * 1000))]
+
+    def _renew(self, now: float, wait: int) -> Renew:
+        self._next_renewal += 1
+        number = self._next_renewal
+        # What a former agent started must not live on by this agent's lease. And
+        # an endpoint that doesn't answer gets no longer lease: the last one must
+        # run out before its runs count as lost.
+        grants = not self._inherits and self._unanswered < DEAF_RENEWALS
+        until = self.clock.grant(now) if grants else None
+        self._renewals[number] = Renewal(self.token, now)
+        return Renew(number, self.instance, until, self.token, self._seen, wait)
+
+    def take_renewal(self, number: int) -> "Renewal | None":
+        """Take a renewal off those under way."""
+        return self._renewals.pop(number, None)
+
+    def postpone_renewal(self, now: float) -> None:
+        """Wait a little after a failure."""
+        self._unanswered += 1
+        self._renew_at = now + RENEWAL_PAUSE
+
+    def hear_hold(self, renewal: "Renewal") -> None:
+        """Note that the endpoint answered a renewal."""
+        self._unanswered = 0
+        self._confirmed_token = max(self._confirmed_token, renewal.token)
+
+    def see_end(self, number: int) -> bool:
+        """Note an end; ``False`` if it was dealt with before."""
+        if number <= self._seen:
+            return False
+        self._seen = number
+        return True
+
+    def deal_with_strangers(self, strangers: list[Unknown], now: float) -> list[Stop]:
+        """Stop what a former agent started; without any, the endpoint is settled."""
+        self.settled = not strangers
+        if not strangers:
+            self._inherits = False
+            return []
+        self._renew_at = now + RENEWAL_PAUSE
+        self._confirmed_token = 0
+        return [self.make_stop(each.task, each.run) for each in strangers]
+
+    def has_lapsed(self, now: float) -> bool:
+        """Tell whether every lease ever granted has run out."""
+        return self.clock.known and now > self.clock.lapsed_at
+
+    def next_wakeup(self) -> float:
+        """Tell when something here is due."""
+        if self.instance and self._renew_at > self._now:
+            return self._renew_at
+        return self._now + MAX_LEASE / 4
+
+
+class Renewal(NamedTuple):
+    """A renewal under way: the token it carried and when it was sent."""
+
+    token: int
+    issued_at: float
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/events.py
@@ -0,0 +1,171 @@
+"""Events and actions of the cores that deal with leased runs.
+
+Streams, ticks and sending are shared with the other cores; see
+``godwitbank._internal.core.events``.
+"""
+
+from typing import NamedTuple
+
+from godwitbank._internal.core.events import CloseStream, Dial, Send
+from godwitbank._internal.models.jobs import (
+    Configuration,
+    EndpointReport,
+    JobResult,
+    JobSpec,
+    ListedEnd,
+    ListedRun,
+)
+
+
+class JobSubmitted(NamedTuple):
+    """A caller handed over a job.
+
+    :param caller: the shell's number of the request.
+    :param patience: seconds the caller waits for the result.
+    """
+
+    caller: int
+    spec: JobSpec
+    patience: float
+
+
+class CallerGone(NamedTuple):
+    """A caller hung up before its result."""
+
+    caller: int
+
+
+class JobCancelled(NamedTuple):
+    """A caller asked for a job to be cancelled."""
+
+    job: str
+
+
+class ConfigurationRead(NamedTuple):
+    """A configuration was read from the store."""
+
+    configuration: Configuration
+
+
+class AddressesRead(NamedTuple):
+    """Stream addresses of entries were read from the store or the settings."""
+
+    addresses: tuple[str, ...]
+
+
+class Reported(NamedTuple):
+    """The endpoint reported about itself."""
+
+    report: EndpointReport
+
+
+class Departed(NamedTuple):
+    """The endpoint said that it ends now."""
+
+    instance: str
+
+
+class StartAnswered(NamedTuple):
+    """An endpoint's answer to an order to start, or that there was none.
+
+    :param verdict: a ``StartVerdict``.
+    :param token: fencing token the order carried.
+    :param clock: the endpoint's clock in milliseconds, or ``None``.
+    """
+
+    task: str
+    run: int
+    verdict: str
+    token: int
+    clock: int | None
+
+
+class Held(NamedTuple):
+    """An endpoint's answer to a lease renewal.
+
+    :param renewal: number of the ``Renew`` it answers.
+    """
+
+    renewal: int
+    running: tuple[ListedRun, ...]
+    ended: tuple[ListedEnd, ...]
+    clock: int
+    instance: str
+
+
+class HoldFailed(NamedTuple):
+    """A lease renewal was refused or not answered.
+
+    :param verdict: a ``HoldVerdict``.
+    :param clock: the endpoint's clock in milliseconds, or ``None``.
+    """
+
+    renewal: int
+    verdict: str
+    clock: int | None
+
+
+class Start(NamedTuple):
+    """Order the endpoint to start a run.
+
+    :param lease_until: end of the lease in milliseconds of the endpoint's clock.
+    :param token: fencing token.
+    """
+
+    instance: str
+    task: str
+    run: int
+    payload: str
+    lease_until: int
+    token: int
+    checkpoint: str
+
+
+class Stop(NamedTuple):
+    """Order the endpoint to stop a run."""
+
+    instance: str
+    task: str
+    run: int
+    token: int
+
+
+class Renew(NamedTuple):
+    """Renew the lease of all that runs, and learn what runs and what ended.
+
+    :param lease_until: as in ``Start``; ``None`` renews nothing.
+    :param seen: number of the last end that was dealt with.
+    :param wait: milliseconds the endpoint may wait for an end.
+    """
+
+    renewal: int
+    instance: str
+    lease_until: int | None
+    token: int
+    seen: int
+    wait: int
+
+
+class Answer(NamedTuple):
+    """Tell a caller the result of its job."""
+
+    caller: int
+    result: JobResult
+
+
+class Note(NamedTuple):
+    """Write one decision to the log.
+
+    :param request: the job or task it is about, or an empty string.
+    """
+
+    event: str
+    request: str
+    fields: dict[str, object]
+
+
+class Quiet(NamedTuple):
+    """Nothing is left to do; a stopping process may exit."""
+
+
+RunAction = Send | CloseStream | Dial | Start | Stop | Renew | Answer | Note | Quiet
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/fleet.py
@@ -0,0 +1,120 @@
+"""The agents that one entry knows: their room, and how well they serve."""
+
+from collections import deque
+
+from godwitbank._internal.core.runs.health import Health
+from godwitbank._internal.core.runs.work import Task
+from godwitbank._internal.models.resources import Resources
+from godwitbank._internal.models.run_messages import EndpointNews, Room
+
+
+class AgentView:
+    """An agent with an open stream, as one entry sees it."""
+
+    def __init__(
+        self, stream: int, address: str, incarnation: str, zone: str, health: Health
+    ) -> None:
+        self.stream = stream
+        self.address = address
+        self.incarnation = incarnation
+        self.zone = zone
+        self.health = health
+        self.news: EndpointNews | None = None
+        self.capacity = Resources()
+        self.labels: frozenset[str] = frozenset()
+        self.tasks: dict[str, Task] = {}
+        self.parked_by_others = 0
+        self.my_parked = 0
+        self._room = Resources()
+        self._sent = 0
+        self._unseen: deque[Resources] = deque()
+        self._unseen_sum = Resources()
+
+    @property
+    def open(self) -> bool:
+        """Whether the agent takes new runs."""
+        return self.news is not None and self.news.open
+
+    @property
+    def service(self) -> str:
+        """Service of the endpoint; empty while none has reported."""
+        return self.news.service if self.news else ""
+
+    @property
+    def free(self) -> Resources:
+        """Room as last told, less what is on its way there."""
+        return self._room - self._unseen_sum
+
+    def hear_news(self, news: EndpointNews) -> None:
+        """Note what stands behind the agent."""
+        self.news = news
+        self.capacity = Resources(news.cpu, news.memory, news.gpu)
+        self.labels = frozenset(news.labels)
+
+    def hear_room(self, room: Room) -> None:
+        """Note the agent's room and which starts it has counted in."""
+        self._room = Resources(room.cpu, room.memory, room.gpu)
+        self.parked_by_others = max(0, room.parked - self.my_parked)
+        while len(self._unseen) > self._sent - room.seen:
+            self._unseen_sum -= self._unseen.popleft()
+
+    def add(self, task: Task, parked: bool) -> None:
+        """Count a start that is sent now."""
+        self.tasks[task.name] = task
+        self._sent += 1
+        self._unseen.append(task.rules.needs)
+        self._unseen_sum += task.rules.needs
+        task.parked = parked
+        self.my_parked += parked
+
+    def begin(self, task: Task) -> None:
+        """Note that a parked run has room now."""
+        if task.parked:
+            task.parked = False
+            self.my_parked -= 1
+
+    def remove(self, task: Task) -> None:
+        """Note that a run is over."""
+        self.begin(task)
+        self.tasks.pop(task.name, None)
+
+    def count_step(self, task: Task) -> int:
+        """Count the runs of a task's step here."""
+        return sum(
+            other.job is task.job and other.step == task.step
+            for other in self.tasks.values()
+        )
+
+
+class Fleet:
+    """All agents, by stream; health outlives a stream."""
+
+    def __init__(self) -> None:
+        self.views: dict[int, AgentView] = {}
+        self._health: dict[str, Health] = {}
+
+    def add(self, stream: int, address: str, incarnation: str, zone: str) -> AgentView:
+        """Note an agent's new stream."""
+        health = self._health.setdefault(address, Health())
+        view = AgentView(stream, address, incarnation, zone, health)
+        self.views[stream] = view
+        return view
+
+    def list_open(self, service: str) -> list[AgentView]:
+        """List the agents that take runs of a service."""
+        return [
+            view
+            for view in self.views.values()
+            if view.open and view.service == service
+        ]
+
+    def find(self, address: str) -> AgentView | None:
+        """Find the agent with an address."""
+        for view in self.views.values():
+            if view.address == address:
+                return view
+        return None
+
+    def measure_capacity(self, service: str) -> float:
+        """Tell the cores of all endpoints that take runs of a service."""
+        return sum(view.capacity.cpu for view in self.list_open(service)) / 1000
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/held.py
@@ -0,0 +1,157 @@
+"""Runs that an agent holds, and the room they take."""
+
+import heapq
+from enum import Enum, auto
+
+from godwitbank._internal.models.resources import Resources
+from godwitbank._internal.models.run_messages import StartRun
+
+
+class RunState(Enum):
+    """Where a run stands at its agent."""
+
+    PARKED = auto()
+    ORDERED = auto()
+    DOUBTFUL = auto()
+    RUNNING = auto()
+    STOPPING = auto()
+
+
+class HeldRun:
+    """One run at one agent."""
+
+    __slots__ = (
+        "order",
+        "owner",
+        "needs",
+        "rank",
+        "state",
+        "arrived_at",
+        "ordered_at",
+        "token",
+        "percent",
+        "moved_at",
+        "passed_over",
+        "stop_reason",
+        "stopped_at",
+        "confirmed_at",
+    )
+
+    def __init__(self, order: StartRun, owner: str, now: float) -> None:
+        self.order = order
+        self.owner = owner
+        self.needs = Resources(order.cpu, order.memory, order.gpu)
+        self.rank = now + order.rank_in
+        self.state = RunState.PARKED
+        self.arrived_at = now
+        self.ordered_at = now
+        self.token = 0
+        self.percent = 0
+        self.moved_at = now
+        self.passed_over = 0
+        self.stop_reason = ""
+        self.stopped_at = 0.0
+        self.confirmed_at = float("inf")
+
+    @property
+    def step(self) -> str:
+        """Name of the task's step: the task's name without its index."""
+        return self.order.task.rpartition(".")[0]
+
+
+MAX_PASSED_OVER = 4
+"""Smaller runs that may go before a parked one that doesn't fit yet.
+
+Without a bound a large task starves behind small ones; with none at all room
+stays idle while work waits.
+"""
+
+
+class Shelf:
+    """Runs at one agent: those that wait, by rank, and those that take room."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, HeldRun] = {}
+        self.capacity = Resources()
+        self.used = Resources()
+        self.parked_needs = Resources()
+        self._waiting: list[tuple[float, int, HeldRun]] = []
+        self._sequence = 0
+        self.parked = 0
+
+    @property
+    def free(self) -> Resources:
+        """Capacity that nothing takes."""
+        return self.capacity - self.used
+
+    def park(self, held: HeldRun) -> None:
+        """Add a run that waits for room."""
+        self.runs[held.order.task] = held
+        self._sequence += 1
+        heapq.heappush(self._waiting, (held.rank, self._sequence, held))
+        self.parked_needs += held.needs
+        self.parked += 1
+
+    def occupy(self, held: HeldRun) -> None:
+        """Take the room for a parked run."""
+        self._unpark(held)
+        self.used += held.needs
+        held.state = RunState.ORDERED
+
+    def remove(self, held: HeldRun) -> None:
+        """Forget a run and free what it took."""
+        if self.runs.get(held.order.task) is not held:
+            return
+        del self.runs[held.order.task]
+        if held.state is RunState.PARKED:
+            self._unpark(held)
+        else:
+            self.used -= held.needs
+
+    def _unpark(self, held: HeldRun) -> None:
+        self.parked -= 1
+        self.parked_needs -= held.needs
+
+    def _count_step(self, step: str) -> int:
+        return sum(
+            held.step == step and held.state is not RunState.PARKED
+            for held in self.runs.values()
+        )
+
+    def _may_run(self, held: HeldRun) -> bool:
+        if not held.needs.fits(self.free):
+            return False
+        spread = held.order.spread
+        return not spread or self._count_step(held.step) < spread
+
+    def choose(self) -> HeldRun | None:
+        """Choose the next run to start: by rank, smaller ones past a large one."""
+        skipped = []
+        chosen = None
+        while self._waiting:
+            entry = heapq.heappop(self._waiting)
+            held = entry[2]
+            gone = self.runs.get(held.order.task) is not held
+            if gone or held.state is not RunState.PARKED:
+                continue
+            if self._may_run(held):
+                chosen = held
+                break
+            skipped.append(entry)
+            if held.passed_over >= MAX_PASSED_OVER:
+                break
+        for entry in skipped:
+            if chosen is not None:
+                entry[2].passed_over += 1
+            heapq.heappush(self._waiting, entry)
+        return chosen
+
+    def list_parked(self) -> list[HeldRun]:
+        """List the runs that wait for room."""
+        return [held for held in self.runs.values() if held.state is RunState.PARKED]
+
+    def list_placed(self) -> list[HeldRun]:
+        """List the runs that take room."""
+        return [
+            held for held in self.runs.values() if held.state is not RunState.PARKED
+        ]
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/lease.py
@@ -0,0 +1,53 @@
+"""The lease of everything that runs at an endpoint, on the endpoint's clock."""
+
+import math
+
+MAX_LEASE = 1.0
+"""Seconds of the longest lease an endpoint grants (platform's bound)."""
+
+CLOCK_SKEW = 0.02
+"""How much slower than true an endpoint's clock may run, as a share (bound)."""
+
+LAPSE_SLACK = 0.1
+"""Seconds added before a run counts as lapsed: the endpoint ends its runs, and
+its answers travel, a little later than its clock says."""
+
+
+class EndpointClock:
+    """An endpoint's clock as last told, and when all that it runs has lapsed."""
+
+    def __init__(self) -> None:
+        self._told: int | None = None
+        self._told_at = 0.0
+        self.lapsed_at = -math.inf
+
+    @property
+    def known(self) -> bool:
+        """Whether the endpoint has told its clock."""
+        return self._told is not None
+
+    def hear(self, clock: int | None, now: float) -> None:
+        """Note the clock in an answer; answers may overtake each other."""
+        if clock is None or (self._told is not None and clock < self._told):
+            return
+        self._told = clock
+        self._told_at = now
+
+    def read(self, now: float) -> int:
+        """Estimate the endpoint's clock now, in milliseconds."""
+        return (self._told or 0) + int((now - self._told_at) * 1000)
+
+    def grant(self, now: float, seconds: float = MAX_LEASE) -> int:
+        """Choose the end of a lease that begins now, and remember it.
+
+        Remembered even if no answer comes: the order may have been carried out.
+        """
+        until = self.read(now) + int(seconds * 1000)
+        left = (until - (self._told or 0)) / 1000 / (1 - CLOCK_SKEW)
+        self.lapsed_at = max(self.lapsed_at, self._told_at + left + LAPSE_SLACK)
+        return until
+
+    def reset(self) -> None:
+        """Forget a clock that belonged to an earlier boot."""
+        self._told = None
+        self.lapsed_at = -math.inf
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/ownership.py
@@ -0,0 +1,67 @@
+"""Which entry has which job, as far as this entry was told.
+
+A caller whose connection broke submits the same job again, to any entry. The
+first entry's runs may still be alive; started a second time they would run
+twice at once. Entries tell each other what they have taken, and the second asks
+the first to stop before it starts anything.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+REMEMBER_SECONDS = 20.0
+"""Seconds a claim is remembered; longer than any caller waits (10 s)."""
+
+YIELD_SECONDS = 0.8
+"""Seconds the other entry has to answer; its agents stop runs in some 50 ms."""
+
+LAPSE_SECONDS = 1.4
+"""Seconds after an entry or an agent fell silent by which its runs are gone.
+
+Agents stop the runs of an entry they haven't heard of for ``SILENCE`` (0.7 s),
+in 0.1 s; an agent that is itself suspended or dead lets the lease lapse, 1.0 s
+and 2 % of it at the longest. Added to that, 0.3 s for delays on the way.
+"""
+
+
+class Taking(NamedTuple):
+    """A peer took a job."""
+
+    incarnation: str
+    at: float
+
+
+class Takings:
+    """Jobs taken by peers, newest last."""
+
+    def __init__(self) -> None:
+        self._jobs: OrderedDict[str, Taking] = OrderedDict()
+        self._lost: dict[str, float] = {}
+
+    def note(self, jobs: list[str], incarnation: str, now: float) -> None:
+        """Note what a peer has taken."""
+        for job in jobs:
+            self._jobs.pop(job, None)
+            self._jobs[job] = Taking(incarnation, now)
+        while self._jobs:
+            oldest = next(iter(self._jobs))
+            if now - self._jobs[oldest].at < REMEMBER_SECONDS:
+                break
+            del self._jobs[oldest]
+
+    def lose(self, incarnation: str, now: float) -> None:
+        """Note that a peer's last stream ended."""
+        self._lost[incarnation] = now
+
+    def find(self, job: str) -> str:
+        """Find the incarnation of the peer that took a job, or an empty string."""
+        taking = self._jobs.get(job)
+        return taking.incarnation if taking else ""
+
+    def forget(self, job: str) -> None:
+        """Forget a job that its taker has given up."""
+        self._jobs.pop(job, None)
+
+    def find_lapse(self, incarnation: str, now: float) -> float:
+        """Tell when the runs of a peer that can't be reached are gone."""
+        return self._lost.get(incarnation, now) + LAPSE_SECONDS
--- a/src/godwitbank/_internal/http/entry.py
+++ b/src/godwitbank/_internal/http/entry.py
@@ -20,6 +20,7 @@
     parse_job,
     parse_request,
 )
+from godwitbank._internal.http.disconnect import await_disconnect
 from godwitbank._internal.http.problems import (
     METRICS_TYPE,
     handle_http_error,
@@ -49,7 +50,7 @@
     if parsed.seconds:
         seconds = min(seconds, parsed.seconds)
     work = asyncio.ensure_future(process.submit(service, parsed.tasks, seconds))
-    gone = asyncio.ensure_future(_await_disconnect(request))
+    gone = asyncio.ensure_future(await_disconnect(request))
     try:
         await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
         if work.done():
@@ -60,13 +61,6 @@
         gone.cancel()
 
 
-async def _await_disconnect(request: Request) -> None:
-    while True:
-        message = await request.receive()
-        if message["type"] == "http.disconnect":
-            return
-
-
 def _make_handlers(process: "EntryProcess") -> list[Any]:
     @post(
         "/v1/services/{service:str}/requests",
--- a/src/godwitbank/_internal/models/messages.py
+++ b/src/godwitbank/_internal/models/messages.py
@@ -8,6 +8,20 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from godwitbank._internal.models.run_messages import (
+    EndpointNews,
+    Holding,
+    Pulse,
+    Room,
+    Rules,
+    RunBegun,
+    RunOutcome,
+    StartRun,
+    StopRun,
+    Took,
+    Yield,
+    Yielded,
+)
 from godwitbank._internal.models.tasks import TaskKey
 
 PROTOCOL_VERSION = 1
@@ -283,6 +297,18 @@
     | Recall
     | Recalled
     | Goodbye
+    | StartRun
+    | StopRun
+    | RunOutcome
+    | Holding
+    | EndpointNews
+    | Room
+    | Pulse
+    | Rules
+    | Took
+    | Yield
+    | Yielded
+    | RunBegun
 )
 
 REGISTRY: tuple[type[Message], ...] = (
@@ -306,4 +332,16 @@
     Recall,
     Recalled,
     Goodbye,
+    StartRun,
+    StopRun,
+    RunOutcome,
+    Holding,
+    EndpointNews,
+    Room,
+    Pulse,
+    Rules,
+    Took,
+    Yield,
+    Yielded,
+    RunBegun,
 )
--- /dev/null
+++ b/src/godwitbank/_internal/models/resources.py
@@ -0,0 +1,39 @@
+"""What a task needs and what an endpoint has, as one vector."""
+
+from typing import NamedTuple
+
+
+class Resources(NamedTuple):
+    """An amount of each resource.
+
+    :param cpu: thousandths of a core.
+    :param memory: megabytes.
+    :param gpu: whole accelerators.
+
+    >>> Resources(1600, 64, 0) + Resources(400, 0, 0)
+    Resources(cpu=2000, memory=64, gpu=0)
+    """
+
+    cpu: int = 0
+    memory: int = 0
+    gpu: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":  # type: ignore[override]
+        return Resources(
+            self.cpu + other.cpu, self.memory + other.memory, self.gpu + other.gpu
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu - other.cpu, self.memory - other.memory, self.gpu - other.gpu
+        )
+
+    def fits(self, room: "Resources") -> bool:
+        """Tell whether this amount fits into ``room``.
+
+        >>> Resources(1, 1, 0).fits(Resources(1, 2, 0))
+        True
+        """
+        return (
+            self.cpu <= room.cpu and self.memory <= room.memory and self.gpu <= room.gpu
+        )
--- /dev/null
+++ b/src/godwitbank/_internal/models/run_messages.py
@@ -0,0 +1,131 @@
+"""Messages about leased runs between entries and agents."""
+
+from typing import NamedTuple
+
+
+class StartRun(NamedTuple):
+    """Start one run of a task as soon as there is room for it.
+
+    :param run: counts the task's starts, from 1.
+    :param rank_in: seconds until the run should start at the latest; the
+        smallest is served first.
+    :param expected: run time expected, in seconds.
+    :param spread: most runs of the task's step at this endpoint; 0: any.
+    :param checkpoint: where to resume, or an empty string.
+    """
+
+    task: str
+    run: int
+    payload: str
+    cpu: int
+    memory: int
+    gpu: int
+    rank_in: float
+    expected: float
+    spread: int
+    checkpoint: str
+
+
+class StopRun(NamedTuple):
+    """Stop a run, or forget it if it waits for room."""
+
+    task: str
+    run: int
+
+
+class RunBegun(NamedTuple):
+    """A run that had to wait for room was ordered at the endpoint."""
+
+    task: str
+    run: int
+
+
+class RunOutcome(NamedTuple):
+    """A run ended or will never start.
+
+    :param end: a ``RunEnd``.
+    :param elapsed: seconds from the order to the end, as the agent saw it.
+    :param waited: seconds it waited at the agent for room.
+    """
+
+    task: str
+    run: int
+    end: str
+    elapsed: float
+    waited: float
+    checkpoint: str
+
+
+class Holding(NamedTuple):
+    """Every run of the entry that the agent still holds, on a new stream.
+
+    What is missing here has ended or never started, and never will.
+    """
+
+    tasks: list[str]
+
+
+class EndpointNews(NamedTuple):
+    """What stands behind an agent.
+
+    :param open: whether it takes new runs.
+    :param settled: whether everything a former agent had started is gone.
+    """
+
+    instance: str
+    service: str
+    cpu: int
+    memory: int
+    gpu: int
+    labels: list[str]
+    open: bool
+    settled: bool
+
+
+class Room(NamedTuple):
+    """Free resources at an endpoint, less what waits for them at its agent.
+
+    :param parked: runs that wait at the agent.
+    :param seen: ``StartRun`` frames received on this stream so far.
+    """
+
+    cpu: int
+    memory: int
+    gpu: int
+    parked: int
+    seen: int
+
+
+class Pulse(NamedTuple):
+    """Proof of life; between entries it also tells the backlog.
+
+    :param backlog: core-seconds of work that waits at the sender.
+    """
+
+    backlog: float
+
+
+class Rules(NamedTuple):
+    """An accepted configuration, each queue as a list of its fields."""
+
+    version: int
+    queues: list[list]
+    max_body: int
+
+
+class Took(NamedTuple):
+    """Jobs the sender has taken from their callers."""
+
+    jobs: list[str]
+
+
+class Yield(NamedTuple):
+    """The caller of a job came to the sender; stop the job where it was."""
+
+    job: str
+
+
+class Yielded(NamedTuple):
+    """Nothing of the job runs any more by the sender's orders."""
+
+    job: str
--- /dev/null
+++ b/src/godwitbank/_internal/operations/decisions.py
@@ -0,0 +1,71 @@
+"""The log of decisions: one JSON object a line, never blocking.
+
+Standard output is a pipe whose reader may stall. A blocking write would then
+stop a process that holds leases; so lines wait in a bounded buffer, and what
+doesn't fit is dropped and counted.
+"""
+
+import asyncio
+import contextlib
+import os
+from collections import deque
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+MAX_BUFFERED = 256 * 1024
+"""Bytes of lines that wait for the reader; some seconds of a busy process."""
+
+_encode = msgspec.json.encode
+
+
+class DecisionLog:
+    """Writes decisions of one process to a file descriptor."""
+
+    def __init__(
+        self, descriptor: int, process: str, clock: Callable[[], float]
+    ) -> None:
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._process = process
+        self._clock = clock
+        self._lines: deque[bytes] = deque()
+        self._size = 0
+        self._scheduled = False
+        os.set_blocking(descriptor, False)
+
+    def write(self, event: str, request: str, fields: Mapping[str, object]) -> None:
+        """Queue one line; it is written at the end of this turn of the loop."""
+        line = {"at": round(self._clock(), 4), "process": self._process}
+        line["event"] = event  # type: ignore[assignment]
+        if request:
+            line["request"] = request  # type: ignore[assignment]
+        line.update(fields)  # type: ignore[arg-type]
+        data = _encode(line) + b"\n"
+        if self._size + len(data) > MAX_BUFFERED:
+            self.dropped += 1
+            return
+        self._lines.append(data)
+        self._size += len(data)
+        if not self._scheduled:
+            self._scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._scheduled = False
+        if not self._lines:
+            return
+        data = b"".join(self._lines)
+        written = 0
+        with contextlib.suppress(BlockingIOError):
+            # The reader is slow; what is left waits for the next line.
+            written = os.write(self._descriptor, data)
+        self._lines.clear()
+        rest = data[written:]
+        self._size = len(rest)
+        if rest:
+            self._lines.append(rest)
+
+    def close(self) -> None:
+        """Write what can be written without waiting."""
+        self._flush()
--- a/src/godwitbank/_internal/operations/inbox.py
+++ b/src/godwitbank/_internal/operations/inbox.py
@@ -3,15 +3,17 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
-from godwitbank._internal.core.events import Action, Tick
+from godwitbank._internal.core.events import Tick
 
+A = TypeVar("A")
 
-class Core(Protocol):
-    """What both cores have in common."""
 
-    def handle(self, event: object, now: float) -> list[Action]:
+class Core(Protocol[A]):
+    """What all cores have in common."""
+
+    def handle(self, event: object, now: float) -> list[A]:
         """Take one event and return what has to be done."""
 
 
@@ -29,7 +31,7 @@
         owner.result()
 
 
-class Inbox:
+class Inbox(Generic[A]):
     """Events waiting for a core, and the task that owns the core.
 
     Events are handed over by callbacks of the loop, all that have come in one
@@ -38,8 +40,8 @@
 
     def __init__(
         self,
-        core: Core,
-        perform: Callable[[list[Action]], None],
+        core: Core[A],
+        perform: Callable[[list[A]], None],
         next_wakeup: Callable[[], float],
         clock: Callable[[], float],
     ) -> None:
@@ -96,7 +98,7 @@
         self._arm(self._loop)
 
     def _drain(self) -> None:
-        actions: list[Action] = []
+        actions: list[A] = []
         for _ in range(len(self._events)):
             event = self._events.popleft()
             if isinstance(event, asyncio.Future):
--- /dev/null
+++ b/src/godwitbank/_internal/operations/run_agent.py
@@ -0,0 +1,136 @@
+"""The shell round the agent's core for leased runs: streams, orders, timers."""
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from absl import logging
+
+from godwitbank._internal.core.events import CloseStream, Dial, Send, StopRequested
+from godwitbank._internal.core.identity import Identity, make_hello
+from godwitbank._internal.core.runs.agent import RunAgentCore
+from godwitbank._internal.core.runs.events import (
+    AddressesRead,
+    Held,
+    HoldFailed,
+    Note,
+    Quiet,
+    Renew,
+    RunAction,
+    Start,
+    StartAnswered,
+    Stop,
+)
+from godwitbank._internal.models.messages import Message, Role
+from godwitbank._internal.network.streams import StreamEvents, StreamTable
+from godwitbank._internal.operations.clocks import read_boot_time
+from godwitbank._internal.operations.decisions import DecisionLog
+from godwitbank._internal.operations.inbox import Inbox, wait_unless_failed
+from godwitbank._internal.operations.metrics import Exporter
+
+STOP_SECONDS = 4.5
+"""Longest wait for running tasks after SIGTERM; the process is killed at 6 s,
+and its successor needs the rest to take over the endpoint."""
+
+SETTLE_SECONDS = 0.2
+"""Time the last outcomes get to leave the sockets before the process ends."""
+
+
+class Orders(Protocol):
+    """Calls to the endpoint beside the agent."""
+
+    async def start(self, order: Start) -> StartAnswered:
+        """Order a start."""
+
+    async def stop(self, order: Stop) -> None:
+        """Order a stop; whether it was heard shows in the next renewal."""
+
+    async def renew(self, order: Renew) -> Held | HoldFailed:
+        """Renew the lease and fetch the lists."""
+
+    async def close(self) -> None:
+        """Close connections."""
+
+
+class RunAgentProcess:
+    """One agent for leased runs."""
+
+    def __init__(self, identity: Identity, orders: Orders, log: DecisionLog) -> None:
+        self.core = RunAgentCore(identity, read_boot_time())
+        self.exporter = Exporter(self.core.counts)
+        self.stopping = asyncio.Event()
+        self._quiet = asyncio.Event()
+        self._orders = orders
+        self._log = log
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._inbox = Inbox(
+            self.core, self._perform, lambda: self.core.next_wakeup, read_boot_time
+        )
+        events = StreamEvents(self._inbox.put, self.core.counts.add)
+        self.streams = StreamTable(events, make_hello(identity, Role.AGENT))
+
+    def put(self, event: object) -> None:
+        """Hand an event to the core."""
+        self._inbox.put(event)
+
+    def learn_entries(self, addresses: tuple[str, ...]) -> None:
+        """Take stream addresses of entries."""
+        self._inbox.put(AddressesRead(addresses))
+
+    def _perform(self, actions: list[RunAction]) -> None:
+        writes: dict[int, list[Message]] = {}
+        for action in actions:
+            if isinstance(action, Send):
+                writes.setdefault(action.stream, []).append(action.message)
+            elif isinstance(action, Note):
+                self._log.write(action.event, action.request, action.fields)
+            elif isinstance(action, Start):
+                self._spawn(self._start(action))
+            elif isinstance(action, Renew):
+                self._spawn(self._renew(action))
+            elif isinstance(action, Stop):
+                self._spawn(self._orders.stop(action))
+            elif isinstance(action, CloseStream):
+                self.streams.write(action.stream, writes.pop(action.stream, []))
+                self.streams.close(action.stream, action.reason == "silence")
+            elif isinstance(action, Dial):
+                self.streams.dial(action.address)
+            elif isinstance(action, Quiet):
+                self._quiet.set()
+        for stream, messages in writes.items():
+            self.streams.write(stream, messages)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _start(self, order: Start) -> None:
+        began = read_boot_time()
+        answer = await self._orders.start(order)
+        self.exporter.record("start_order", read_boot_time() - began)
+        self._inbox.put(answer)
+
+    async def _renew(self, order: Renew) -> None:
+        self._inbox.put(await self._orders.renew(order))
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT; then let running tasks finish."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        owner = asyncio.create_task(self._inbox.run())
+        logging.info("agent starts")
+        await wait_unless_failed(self.stopping, owner)
+        logging.info("agent stops")
+        self._inbox.put(StopRequested())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STOP_SECONDS):
+                await wait_unless_failed(self._quiet, owner)
+        await asyncio.sleep(SETTLE_SECONDS)
+        self.streams.close_all()
+        owner.cancel()
+        await self._orders.close()
+        self._log.close()
--- /dev/null
+++ b/src/godwitbank/_internal/operations/run_entry.py
@@ -0,0 +1,153 @@
+"""The shell round the entry's core for jobs of leased runs."""
+
+import asyncio
+import contextlib
+import itertools
+import signal
+from random import Random
+
+from absl import logging
+
+from godwitbank._internal.core.events import CloseStream, Dial, Send, StopRequested
+from godwitbank._internal.core.identity import Identity, make_hello
+from godwitbank._internal.core.runs.entry import RunEntryCore
+from godwitbank._internal.core.runs.events import (
+    AddressesRead,
+    Answer,
+    CallerGone,
+    ConfigurationRead,
+    JobCancelled,
+    JobSubmitted,
+    Note,
+    Quiet,
+    RunAction,
+)
+from godwitbank._internal.models.jobs import Configuration, JobResult, JobSpec
+from godwitbank._internal.models.messages import Message, Role
+from godwitbank._internal.network.streams import StreamEvents, StreamTable
+from godwitbank._internal.operations.clocks import read_boot_time
+from godwitbank._internal.operations.decisions import DecisionLog
+from godwitbank._internal.operations.inbox import Inbox, wait_unless_failed
+from godwitbank._internal.operations.metrics import Exporter
+
+UNREADY_SECONDS = 2.5
+"""Time after SIGTERM in which callers may still arrive: the balancer looks once
+a second and takes two misses."""
+
+STOP_SECONDS = 5.4
+"""Time after SIGTERM at which the last jobs are given up; the process is killed
+at 6 s."""
+
+SETTLE_SECONDS = 0.2
+"""Time the last answers get to leave the sockets."""
+
+
+class RunEntryProcess:
+    """One entry for jobs of leased runs."""
+
+    def __init__(self, identity: Identity, rng: Random, log: DecisionLog) -> None:
+        self.core = RunEntryCore(identity, rng, read_boot_time())
+        self.exporter = Exporter(self.core.counts)
+        self.stopping = asyncio.Event()
+        self._quiet = asyncio.Event()
+        self._log = log
+        self._numbers = itertools.count(1)
+        self._callers: dict[int, asyncio.Future[JobResult]] = {}
+        self._inbox = Inbox(
+            self.core, self._perform, lambda: self.core.next_wakeup, read_boot_time
+        )
+        events = StreamEvents(self._inbox.put, self.core.counts.add)
+        self.streams = StreamTable(events, make_hello(identity, Role.ENTRY))
+
+    # What the HTTP application and the store's watcher call
+
+    async def submit(self, spec: JobSpec, patience: float) -> JobResult:
+        """Hand a job to the core and wait for its result.
+
+        :param patience: seconds the caller waits.
+        """
+        began = read_boot_time()
+        caller = next(self._numbers)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[JobResult] = loop.create_future()
+        self._callers[caller] = future
+        self._inbox.put(JobSubmitted(caller, spec, patience))
+        try:
+            result = await future
+            self.exporter.record(f"job_{result.end}", read_boot_time() - began)
+            return result
+        except asyncio.CancelledError:
+            self._inbox.put(CallerGone(caller))
+            raise
+        finally:
+            self._callers.pop(caller, None)
+
+    async def cancel(self, job: str) -> bool:
+        """Cancel a job; returns whether it was in flight here."""
+        known = job in self.core.dispatcher.jobs
+        self._inbox.put(JobCancelled(job))
+        await self._inbox.flush()
+        return known
+
+    def install(self, configuration: Configuration) -> None:
+        """Take a configuration read from the store."""
+        self._inbox.put(ConfigurationRead(configuration))
+
+    def learn_entries(self, addresses: tuple[str, ...]) -> None:
+        """Take stream addresses of entries."""
+        self._inbox.put(AddressesRead(addresses))
+
+    # Actions
+
+    def _perform(self, actions: list[RunAction]) -> None:
+        writes: dict[int, list[Message]] = {}
+        for action in actions:
+            if isinstance(action, Send):
+                writes.setdefault(action.stream, []).append(action.message)
+            elif isinstance(action, Note):
+                self._log.write(action.event, action.request, action.fields)
+            elif isinstance(action, Answer):
+                self._answer(action)
+            elif isinstance(action, CloseStream):
+                self.streams.write(action.stream, writes.pop(action.stream, []))
+                self.streams.close(action.stream, action.reason == "silence")
+            elif isinstance(action, Dial):
+                self.streams.dial(action.address)
+            elif isinstance(action, Quiet):
+                self._quiet.set()
+        for stream, messages in writes.items():
+            self.streams.write(stream, messages)
+
+    def _answer(self, action: Answer) -> None:
+        future = self._callers.get(action.caller)
+        if future is not None and not future.done():
+            future.set_result(action.result)
+
+    # Life
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT; then finish what was taken."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        owner = asyncio.create_task(self._inbox.run())
+        logging.info("entry starts")
+        await wait_unless_failed(self.stopping, owner)
+        logging.info("entry stops")
+        self.core.stopping = True
+        ends_at = loop.time() + STOP_SECONDS
+        await asyncio.sleep(UNREADY_SECONDS)
+        self._inbox.put(StopRequested())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(ends_at):
+                await wait_unless_failed(self._quiet, owner)
+        self._refuse_rest()
+        await asyncio.sleep(SETTLE_SECONDS)
+        self.streams.close_all()
+        owner.cancel()
+        self._log.close()
+
+    def _refuse_rest(self) -> None:
+        # An answer that says "may have run" is better than a cut connection.
+        for job in list(self.core.dispatcher.jobs):
+            self._inbox.put(JobCancelled(job))
--- a/src/godwitbank/_internal/operations/server.py
+++ b/src/godwitbank/_internal/operations/server.py
@@ -42,7 +42,7 @@
 class HttpServer:
     """A uvicorn server that leaves signals to its owner."""
 
-    def __init__(self, app: Any, listener: socket.socket) -> None:
+    def __init__(self, app: Any, *listeners: socket.socket) -> None:
         config = uvicorn.Config(
             app,
             http="httptools",
@@ -55,12 +55,12 @@
         )
         self._server = uvicorn.Server(config)
         self._server.capture_signals = _leave_signals  # type: ignore
-        self._listener = listener
+        self._listeners = list(listeners)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start to accept connections."""
-        serving = self._server.serve(sockets=[self._listener])
+        serving = self._server.serve(sockets=self._listeners)
         self._task = asyncio.create_task(serving)
         while not self._server.started and not self._task.done():
             await asyncio.sleep(0)
--- /dev/null
+++ b/src/godwitbank/_internal/platform/callers.py
@@ -0,0 +1,131 @@
+"""What callers ask of an entry over HTTP."""
+
+import asyncio
+import math
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from litestar import Litestar, Request, Response, route
+from litestar.exceptions import HTTPException
+from returns.result import Success
+
+from godwitbank._internal.http.disconnect import await_disconnect
+from godwitbank._internal.models.jobs import JobEnd, JobResult, QueueRules
+from godwitbank._internal.platform.bodies import decode_job
+
+if TYPE_CHECKING:
+    from godwitbank._internal.operations.run_entry import RunEntryProcess
+
+JSON = "application/json"
+
+JOB_ID_LENGTH = 16
+"""Hexadecimal digits of a job's id."""
+
+DEFAULT_PATIENCE = 10.0
+"""Seconds a caller waits who doesn't say how long."""
+
+_STATUSES = {
+    JobEnd.COMPLETED: 200,
+    JobEnd.FAILED: 200,
+    JobEnd.REFUSED: 503,
+    JobEnd.GIVEN_UP: 504,
+}
+
+
+def make_callers_app(process: "RunEntryProcess") -> Litestar:
+    """Make the application that callers reach."""
+
+    @route("/{path:path}", http_method=["GET", "POST", "DELETE"], status_code=200)
+    async def serve(request: Request) -> Response[bytes]:
+        return await _serve(process, request)
+
+    return Litestar(
+        route_handlers=[serve],
+        exception_handlers={HTTPException: _handle_http_error},
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+async def _serve(process: "RunEntryProcess", request: Request) -> Response[bytes]:
+    path = request.scope["raw_path"].decode("latin-1").partition("?")[0]
+    host = request.headers.get("host", "").partition(":")[0]
+    if not process.core.routes.version:
+        return _respond(process, 503, {"error": "no configuration yet"}, 1.0)
+    queue = process.core.find_queue(host, path)
+    if queue is None:
+        return _respond(process, 404, {"error": "no such queue"})
+    name = path[len(queue.prefix) :]
+    if not name:
+        waiting = process.core.count_waiting(queue.name)
+        return _respond(process, 200, {"waiting": waiting})
+    if request.method == "POST":
+        return await _submit(process, request, queue, name)
+    if request.method == "DELETE" and await process.cancel(name):
+        return _respond(process, 200, {})
+    return _respond(process, 410, {"error": "no such job"})
+
+
+async def _submit(
+    process: "RunEntryProcess", request: Request, queue: QueueRules, name: str
+) -> Response[bytes]:
+    configuration = process.core.routes.configuration
+    body = await request.body()
+    if configuration is not None and len(body) > configuration.max_body:
+        return _respond(process, 413, {"error": "the body is too large"})
+    if not _is_job_id(name):
+        return _respond(process, 400, {"error": "the id must be 16 hex digits"})
+    decoded = decode_job(name, queue.name, body)
+    if not isinstance(decoded, Success):
+        return _respond(process, 400, {"error": decoded.failure()})
+    patience = _read_patience(request)
+    work = asyncio.ensure_future(process.submit(decoded.unwrap(), patience))
+    gone = asyncio.ensure_future(await_disconnect(request))
+    await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+    gone.cancel()
+    if not work.done():
+        work.cancel()
+        return _respond(process, 499, {})
+    return _render(process, work.result())
+
+
+def _is_job_id(name: str) -> bool:
+    digits = set("0123456789abcdefABCDEF")
+    return len(name) == JOB_ID_LENGTH and set(name) <= digits
+
+
+def _read_patience(request: Request) -> float:
+    text = request.headers.get("deadline-ms", "")
+    return int(text) / 1000 if text.isdigit() else DEFAULT_PATIENCE
+
+
+def _render(process: "RunEntryProcess", result: JobResult) -> Response[bytes]:
+    status = _STATUSES[result.end]
+    if status == 200:
+        return _respond(process, 200, {"state": str(result.end)})
+    ran = "may_have_run" if result.ran else "not_run"
+    body = {"error": result.reason, "ran": ran}
+    return _respond(process, status, body, result.retry_after)
+
+
+def _respond(
+    process: "RunEntryProcess",
+    status: int,
+    body: dict[str, Any],
+    retry_after: float | None = None,
+) -> Response[bytes]:
+    headers = {}
+    if retry_after is not None:
+        headers["Retry-After"] = str(math.ceil(retry_after))
+    if process.core.stopping:
+        # A connection kept open would be cut under the caller's next request.
+        headers["Connection"] = "close"
+    return Response(
+        msgspec.json.encode(body), status_code=status, media_type=JSON, headers=headers
+    )
+
+
+def _handle_http_error(request: Request, error: HTTPException) -> Response[bytes]:
+    del request
+    body = msgspec.json.encode({"error": error.detail})
+    return Response(body, status_code=error.status_code, media_type=JSON)
--- /dev/null
+++ b/src/godwitbank/_internal/platform/endpoint.py
@@ -0,0 +1,141 @@
+"""Calls to the endpoint on the agent's own VM."""
+
+from typing import Any
+
+import httpx
+import msgspec
+
+from godwitbank._internal.core.runs.events import (
+    Held,
+    HoldFailed,
+    Renew,
+    Start,
+    StartAnswered,
+    Stop,
+)
+from godwitbank._internal.core.runs.verdicts import HoldVerdict, StartVerdict
+from godwitbank._internal.platform.bodies import (
+    OrderAnswer,
+    decode_lists,
+    decode_order_answer,
+)
+
+ORDER_SECONDS = 0.3
+"""Longest wait for an answer to an order; the endpoint is on the same VM and
+answers in some milliseconds, a slowed agent needs some tens."""
+
+CONNECT_SECONDS = 0.2
+
+MAX_CONNECTIONS = 16
+"""Connections to the endpoint, which takes 64."""
+
+_REASONS = {
+    "fence": StartVerdict.FENCED,
+    "old": StartVerdict.SUPERSEDED,
+    "late": StartVerdict.LAPSED,
+    "room": StartVerdict.NO_ROOM,
+    "ticket": StartVerdict.INVALID,
+}
+
+_STATUSES = {
+    200: StartVerdict.STARTED,
+    400: StartVerdict.INVALID,
+    421: StartVerdict.OTHER_INSTANCE,
+    429: StartVerdict.UNHEALTHY,
+    503: StartVerdict.UNHEALTHY,
+}
+
+
+class EndpointOrders:
+    """The endpoint's orders over HTTP."""
+
+    def __init__(self, address: str) -> None:
+        limits = httpx.Limits(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=MAX_CONNECTIONS,
+            keepalive_expiry=60.0,
+        )
+        self._client = httpx.AsyncClient(
+            base_url=f"http://{address}", limits=limits, trust_env=False
+        )
+
+    async def start(self, order: Start) -> StartAnswered:
+        """Order a start."""
+        body: dict[str, Any] = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.payload,
+            "deadline-ms": order.lease_until,
+            "fence-token": order.token,
+        }
+        if order.checkpoint:
+            body["last-checkpoint"] = order.checkpoint
+        try:
+            response = await self._post(
+                "/-/run-start", body, order.instance, ORDER_SECONDS
+            )
+        except httpx.ConnectError:
+            return self._answer(order, StartVerdict.UNREACHABLE, None)
+        except httpx.HTTPError:
+            return self._answer(order, StartVerdict.NO_ANSWER, None)
+        answer = decode_order_answer(response.content)
+        return self._answer(order, _judge(response.status_code, answer), answer.clock)
+
+    def _answer(
+        self, order: Start, verdict: StartVerdict, clock: int | None
+    ) -> StartAnswered:
+        return StartAnswered(order.task, order.run, verdict, order.token, clock)
+
+    async def stop(self, order: Stop) -> None:
+        """Order a stop; its effect shows in the next lists."""
+        body = {"task": order.task, "run": order.run, "fence-token": order.token}
+        try:
+            await self._post("/-/run-stop", body, order.instance, ORDER_SECONDS)
+        except httpx.HTTPError:
+            # The core sees the run still listed, and orders again.
+            return
+
+    async def renew(self, order: Renew) -> Held | HoldFailed:
+        """Renew the lease, wait for an end, and fetch the lists."""
+        body: dict[str, Any] = {
+            "fence-token": order.token,
+            "last-seen": order.seen,
+            "wait-ms": order.wait,
+        }
+        if order.lease_until is not None:
+            body["deadline-ms"] = order.lease_until
+        seconds = order.wait / 1000 + ORDER_SECONDS
+        try:
+            response = await self._post("/-/hold", body, order.instance, seconds)
+            if response.status_code == 200:
+                clock, running, ended = decode_lists(response.content)
+                return Held(order.renewal, running, ended, clock, order.instance)
+        except (httpx.HTTPError, msgspec.DecodeError):
+            return HoldFailed(order.renewal, HoldVerdict.NO_ANSWER, None)
+        answer = decode_order_answer(response.content)
+        verdict = HoldVerdict.REFUSED
+        if response.status_code == 421:
+            verdict = HoldVerdict.OTHER_INSTANCE
+        elif answer.reason == "fence":
+            verdict = HoldVerdict.FENCED
+        return HoldFailed(order.renewal, verdict, answer.clock)
+
+    async def _post(
+        self, path: str, body: dict[str, Any], instance: str, seconds: float
+    ) -> httpx.Response:
+        headers = {"Content-Type": "application/json", "Expect-Instance": instance}
+        timeout = httpx.Timeout(seconds, connect=CONNECT_SECONDS)
+        content = msgspec.json.encode(body)
+        return await self._client.post(
+            path, content=content, headers=headers, timeout=timeout
+        )
+
+    async def close(self) -> None:
+        """Close connections."""
+        await self._client.aclose()
+
+
+def _judge(status: int, answer: OrderAnswer) -> StartVerdict:
+    if status == 409:
+        return _REASONS.get(answer.reason, StartVerdict.INVALID)
+    return _STATUSES.get(status, StartVerdict.NO_ANSWER)
--- /dev/null
+++ b/src/godwitbank/_internal/platform/settings.py
@@ -0,0 +1,99 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+from pathlib import Path
+from typing import NamedTuple
+
+from godwitbank._internal.exceptions import SettingsError
+
+SETTINGS_VARIABLE = "GODWITBANK_SETTINGS"
+"""Environment variable with the path of the settings file."""
+
+METRICS_PORT = 9464
+"""Port of metrics and status, the same as in ``deploy/system.toml``."""
+
+
+class PlatformSettings(NamedTuple):
+    """What a process is told by the platform.
+
+    :param name: name of the VM.
+    :param listen_callers: ``host:port`` for callers; entries only.
+    :param listen_ready: ``host:port`` the balancer asks; entries only.
+    :param listen_control: ``host:port`` for the endpoint on an agent's VM; on
+        entries only served so that the platform names them as seeds.
+    :param stream: ``host:port`` for streams between the system's processes.
+    :param seeds: stream addresses of some entries, perhaps stale.
+    :param store: ``host:port`` of the platform's store.
+    :param endpoint: ``host:port`` of the endpoint's calls; agents only.
+    """
+
+    name: str
+    zone: str
+    ip: str
+    listen_callers: str
+    listen_ready: str
+    listen_control: str
+    stream: str
+    seeds: tuple[str, ...]
+    store: str
+    endpoint: str
+
+    @classmethod
+    def from_environment(cls) -> "PlatformSettings":
+        """Read the file that the environment names.
+
+        :raises SettingsError: naming the field and the remedy.
+        """
+        path = os.environ.get(SETTINGS_VARIABLE, "")
+        try:
+            text = Path(path).read_text(encoding="utf-8")
+        except OSError as error:
+            raise SettingsError(
+                f"settings can't be read: {error.strerror}",
+                context=path or f"{SETTINGS_VARIABLE} is not set",
+                remedy=f"set {SETTINGS_VARIABLE} to the path of a readable file",
+            ) from None
+        return cls.from_text(text)
+
+    @classmethod
+    def from_text(cls, text: str) -> "PlatformSettings":
+        """Decode lines of ``name=value``; unknown names are ignored.
+
+        :raises SettingsError: naming the field and the remedy.
+        """
+        values = dict(
+            line.strip().split("=", 1) for line in text.splitlines() if "=" in line
+        )
+        ip = _require(values, "ip")
+        port = _require(values, "port-range").split(",")[0]
+        if not port.isdigit():
+            raise SettingsError(
+                f"port-range is wrong: {values['port-range']!r}",
+                context="setting 'port-range'",
+                remedy="give two port numbers joined by a comma",
+            )
+        seeds = [seed for seed in values.get("seeds", "").split(",") if seed]
+        return cls(
+            _require(values, "node"),
+            _require(values, "zone"),
+            ip,
+            values.get("listen.front", ""),
+            values.get("listen.ready", ""),
+            values.get("listen.control", ""),
+            f"{ip}:{port}",
+            # A seed names another port of the same VM.
+            tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in seeds),
+            _require(values, "platform.address"),
+            values.get("app", ""),
+        )
+
+
+def _require(values: dict[str, str], key: str) -> str:
+    value = values.get(key, "")
+    if not value:
+        raise SettingsError(
+            f"setting {key!r} is missing",
+            context="the platform's settings file",
+            remedy=f"add a line {key}=VALUE",
+        )
+    return value
