--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -1,5 +1,6 @@
 """Jobs of leased runs at one entry: queueing, placing, retries, results."""
 
+import math
 from collections.abc import Callable
 from random import Random
 
@@ -45,6 +46,7 @@
         self.fleet = Fleet()
         self.estimates = Estimates()
         self.admission = Admission()
+        self.ends_at = math.inf
         self._zone = zone
         self._rng = rng
         self._counts = counts
@@ -87,6 +89,9 @@
         self.dispatch(job.queue.service)
 
     def _find_refusal(self, job: Job) -> str | None:
+        if self._now + job.objective > self.ends_at:
+            # This process ends before the job would.
+            return "stopping"
         service = job.queue.service
         views = self.fleet.list_open(service)
         for step in job.spec.steps:
@@ -264,6 +269,9 @@
         else:
             if end not in _NOT_STARTED or end is RunEnd.UNHEALTHY:
                 task.avoid.add(agent)
+            if end is RunEnd.SUPERSEDED:
+                # Another entry ran it there before, with numbers we don't know.
+                task.run *= 2
             self._requeue(task)
 
     def _complete(self, task: Task) -> None:
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -62,14 +62,31 @@
 """Seconds between looks at deadlines while jobs are in flight."""
 
 
+GRACE = 0.9
+"""Seconds after its start in which an entry waits for those it knows; above the
+``SILENCE`` after which agents stop an entry's runs, and the time that takes."""
+
+UNREADY_SECONDS = 2.5
+"""Seconds after SIGTERM in which callers may still arrive: the balancer looks
+once a second and takes two misses."""
+
+STOP_SECONDS = 5.2
+"""Seconds after SIGTERM at which the last jobs are given up; the process is
+killed at 6 s, and the answers must be out before."""
+
+
 class Delayed:
-    """A job whose start waits until another entry has stopped it."""
+    """A job whose start waits until another entry has stopped it.
 
-    __slots__ = ("job", "start_at")
+    :param abandoned: it won't be started here; a third entry waits in turn.
+    """
+
+    __slots__ = ("job", "start_at", "abandoned")
 
     def __init__(self, job: Job, start_at: float) -> None:
         self.job = job
         self.start_at = start_at
+        self.abandoned = False
 
 
 class RunEntryCore:
@@ -82,8 +99,10 @@
         self.routes = RouteTable()
         self.dispatcher = Dispatcher(identity.zone, rng, self.counts)
         self.stopping = False
+        self._stopped_at = 0.0
+        self._booted_at = now
+        self._informed = False
         self._takings = Takings()
-        self._fresh: list[str] = []
         self._delayed: dict[str, Delayed] = {}
         self._yielding: dict[str, list[int]] = {}
         self._tick_at = now
@@ -134,10 +153,24 @@
         """Time at which a ``Tick`` is next needed."""
         return min(self.links.next_wakeup(), self._tick_at)
 
+    @property
+    def informed(self) -> bool:
+        """Whether it is known what other entries have taken.
+
+        Those that can't be reached for ``GRACE`` are gone for their agents, too,
+        which have stopped their runs by then.
+        """
+        if not self._informed:
+            linked = {link.hello.address for link in self._list_peers()}
+            known = set(self.links.list_known()) - {self.identity.address}
+            waited = self._now - self._booted_at
+            self._informed = waited > GRACE or (bool(known) and known <= linked)
+        return self._informed
+
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return bool(self.routes.version) and not self.stopping
+        return bool(self.routes.version) and self.informed and not self.stopping
 
     def find_queue(self, host: str, path: str) -> QueueRules | None:
         """Find the queue of a request."""
@@ -185,6 +218,10 @@
             known.callers.append(event.caller)
             known.deadline = self._now + event.patience
             return
+        if not self.informed:
+            # What other entries have taken isn't known yet; it might run twice.
+            self._refuse_early(event, "starting")
+            return
         if known is not None or spec.job in self._delayed:
             self._refuse_early(event, "stopping_before")
             return
@@ -198,13 +235,11 @@
     def _take(self, job: Job) -> None:
         self.dispatcher.submit(job)
         if job.spec.job in self.dispatcher.jobs:
-            self._fresh.append(job.spec.job)
-            self._tell_taken()
+            self._tell_taken(job.spec.job)
 
-    def _tell_taken(self) -> None:
+    def _tell_taken(self, name: str) -> None:
         for link in self._list_peers():
-            self._send(link.stream, Took(self._fresh))
-        self._fresh = []
+            self._send(link.stream, Took([name], [0.0]))
 
     def _refuse_early(self, event: JobSubmitted, reason: str) -> None:
         self.counts.add("jobs_refused", reason)
@@ -224,12 +259,18 @@
         self.counts.add("jobs_delayed", "owner_gone" if link is None else "asked")
         self._note("job_delayed", name, s=round(start_at - self._now, 3))
         self._delayed[name] = Delayed(job, start_at)
+        self._tell_taken(name)
 
     def _hear_yielded(self, link: Link, message: Yielded) -> None:
         del link
         self._takings.forget(message.job)
-        delayed = self._delayed.pop(message.job, None)
+        delayed = self._delayed.get(message.job)
         if delayed is not None:
+            self._start_now(delayed)
+
+    def _start_now(self, delayed: Delayed) -> None:
+        del self._delayed[delayed.job.spec.job]
+        if not delayed.abandoned:
             self._take(delayed.job)
 
     def _start_delayed(self) -> None:
@@ -248,18 +289,24 @@
                 delayed.start_at = lapse
                 continue
             self._takings.forget(name)
-            del self._delayed[name]
-            self._take(delayed.job)
+            self._start_now(delayed)
 
     def _hear_yield(self, link: Link, message: Yield) -> None:
         job = self.dispatcher.jobs.get(message.job)
         self._yielding.setdefault(message.job, []).append(link.stream)
+        self._abandon(message.job)
         if job is not None:
             self.dispatcher.give_up(job, "submitted_elsewhere")
 
+    def _abandon(self, name: str) -> None:
+        delayed = self._delayed.get(name)
+        if delayed is not None and not delayed.abandoned:
+            self.dispatcher.refuse(delayed.job, "submitted_elsewhere")
+            delayed.abandoned = True
+
     def _answer_yields(self) -> None:
         for name, streams in list(self._yielding.items()):
-            if name in self.dispatcher.jobs:
+            if name in self.dispatcher.jobs or name in self._delayed:
                 continue
             del self._yielding[name]
             for stream in streams:
@@ -328,8 +375,16 @@
         if self.links.list_known() != before:
             self._tell_entries()
         self._send(event.stream, Peers(self.links.list_known(), []))
+        # A peer that was started later must know what was taken before.
+        self._tell_all_taken(event.stream)
         self._send_rules(event.stream)
 
+    def _tell_all_taken(self, stream: int) -> None:
+        taken = [*self.dispatcher.jobs.values()]
+        taken += [delayed.job for delayed in self._delayed.values()]
+        ages = [self._now - job.arrival for job in taken]
+        self._send(stream, Took([job.spec.job for job in taken], ages))
+
     def _open_agent(self, link: Link) -> None:
         hello = link.hello
         fleet = self.dispatcher.fleet
@@ -402,7 +457,13 @@
         self.dispatcher.admission.hear(link.hello.incarnation, pulse.backlog)
 
     def _hear_took(self, link: Link, message: Took) -> None:
-        self._takings.note(message.jobs, link.hello.incarnation, self._now)
+        for name, age in zip(message.jobs, message.ages, strict=False):
+            self._takings.note(name, age, link.hello.incarnation, self._now)
+            job = self.dispatcher.jobs.get(name)
+            if job is not None and self._now - job.arrival > age:
+                # While this entry was cut off or suspended, the caller went to
+                # another one, which took the job for lost here.
+                self.dispatcher.give_up(job, "submitted_elsewhere")
 
     # Configuration
 
@@ -448,9 +509,27 @@
     def _stop(self, event: StopRequested) -> None:
         del event
         self.stopping = True
+        self._stopped_at = self._now
+        self.dispatcher.ends_at = self._now + STOP_SECONDS
         self._note("stopping", jobs=len(self.dispatcher.jobs))
 
+    def _end_jobs(self) -> None:
+        # Whoever isn't answered now would see its connection cut.
+        for delayed in self._delayed.values():
+            self.dispatcher.refuse(delayed.job, "stopping")
+        self._delayed.clear()
+        for job in list(self.dispatcher.jobs.values()):
+            self.dispatcher.give_up(job, "stopping")
+
     def _check_quiet(self) -> None:
-        busy = self.dispatcher.jobs or self._delayed
-        if self.stopping and not busy:
+        if not self.stopping or self._quiet:
+            return
+        if self._now >= self.dispatcher.ends_at:
+            self._end_jobs()
+            self._quiet = True
+        elif self._now >= self._stopped_at + UNREADY_SECONDS:
+            self._quiet = not self.dispatcher.jobs and not self._delayed
+        if self._quiet:
+            # What still arrives is refused, so that nothing is taken and cut.
+            self.dispatcher.ends_at = self._now
             self._out.append(Quiet())
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -16,8 +16,9 @@
 """
 
 FIRST_DIAL_DELAY = 0.1
-MAX_DIAL_DELAY = 2.0
-"""Seconds before an address that could not be reached is dialled again."""
+MAX_DIAL_DELAY = 0.5
+"""Seconds before an address that could not be reached is dialled again. Short:
+two entries without a stream don't know what the other has taken."""
 
 
 class Link:
--- a/src/godwitbank/_internal/core/runs/ownership.py
+++ b/src/godwitbank/_internal/core/runs/ownership.py
@@ -38,11 +38,13 @@
         self._jobs: OrderedDict[str, Taking] = OrderedDict()
         self._lost: dict[str, float] = {}
 
-    def note(self, jobs: list[str], incarnation: str, now: float) -> None:
-        """Note what a peer has taken."""
-        for job in jobs:
-            self._jobs.pop(job, None)
-            self._jobs[job] = Taking(incarnation, now)
+    def note(self, job: str, age: float, incarnation: str, now: float) -> None:
+        """Note what a peer took ``age`` seconds ago; the newest taking counts."""
+        known = self._jobs.pop(job, None)
+        taking = Taking(incarnation, now - age)
+        if known is not None and known.at > taking.at:
+            taking = known
+        self._jobs[job] = taking
         while self._jobs:
             oldest = next(iter(self._jobs))
             if now - self._jobs[oldest].at < REMEMBER_SECONDS:
--- a/src/godwitbank/_internal/models/run_messages.py
+++ b/src/godwitbank/_internal/models/run_messages.py
@@ -114,9 +114,13 @@
 
 
 class Took(NamedTuple):
-    """Jobs the sender has taken from their callers."""
+    """Jobs the sender has taken from their callers.
+
+    :param ages: seconds since it took each of them; the newest taking counts.
+    """
 
     jobs: list[str]
+    ages: list[float]
 
 
 class Yield(NamedTuple):
--- a/src/godwitbank/_internal/operations/run_entry.py
+++ b/src/godwitbank/_internal/operations/run_entry.py
@@ -1,7 +1,6 @@
 """The shell round the entry's core for jobs of leased runs."""
 
 import asyncio
-import contextlib
 import itertools
 import signal
 from random import Random
@@ -30,16 +29,8 @@
 from godwitbank._internal.operations.inbox import Inbox, wait_unless_failed
 from godwitbank._internal.operations.metrics import Exporter
 
-UNREADY_SECONDS = 2.5
-"""Time after SIGTERM in which callers may still arrive: the balancer looks once
-a second and takes two misses."""
-
-STOP_SECONDS = 5.4
-"""Time after SIGTERM at which the last jobs are given up; the process is killed
-at 6 s."""
-
 SETTLE_SECONDS = 0.2
-"""Time the last answers get to leave the sockets."""
+"""Time the last orders to stop get to leave the sockets."""
 
 
 class RunEntryProcess:
@@ -50,6 +41,7 @@
         self.exporter = Exporter(self.core.counts)
         self.stopping = asyncio.Event()
         self._quiet = asyncio.Event()
+        self._owner: asyncio.Task[None] | None = None
         self._log = log
         self._numbers = itertools.count(1)
         self._callers: dict[int, asyncio.Future[JobResult]] = {}
@@ -126,28 +118,21 @@
     # Life
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT; then finish what was taken."""
+        """Serve until SIGTERM or SIGINT, and finish what was taken."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
-        owner = asyncio.create_task(self._inbox.run())
+        self._owner = asyncio.create_task(self._inbox.run())
         logging.info("entry starts")
-        await wait_unless_failed(self.stopping, owner)
+        await wait_unless_failed(self.stopping, self._owner)
         logging.info("entry stops")
-        self.core.stopping = True
-        ends_at = loop.time() + STOP_SECONDS
-        await asyncio.sleep(UNREADY_SECONDS)
         self._inbox.put(StopRequested())
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(ends_at):
-                await wait_unless_failed(self._quiet, owner)
-        self._refuse_rest()
+        await wait_unless_failed(self._quiet, self._owner)
+
+    async def close(self) -> None:
+        """Close streams; callers must have been answered before."""
         await asyncio.sleep(SETTLE_SECONDS)
         self.streams.close_all()
-        owner.cancel()
+        if self._owner is not None:
+            self._owner.cancel()
         self._log.close()
-
-    def _refuse_rest(self) -> None:
-        # An answer that says "may have run" is better than a cut connection.
-        for job in list(self.core.dispatcher.jobs):
-            self._inbox.put(JobCancelled(job))
--- a/src/godwitbank/_internal/platform/programs.py
+++ b/src/godwitbank/_internal/platform/programs.py
@@ -123,3 +123,4 @@
         watcher.cancel()
     server.close()
     await callers.stop()
+    await process.close()
--- /dev/null
+++ b/tests/core/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the cores for leased runs."""
--- /dev/null
+++ b/tests/core/runs/test_entry.py
@@ -0,0 +1,89 @@
+"""An entry's stop, its configuration, and what it tells callers."""
+
+from godwitbank._internal.core.runs.events import ConfigurationRead
+from godwitbank._internal.models.jobs import Configuration
+from tests.core.runs.test_path import make_world
+from tests.lib.runs_world import QUEUE, make_job
+
+
+def test_a_stopping_entry_finishes_what_it_took() -> None:
+    world = make_world()
+    world.submit("entry-0", make_job("j1", width=4, seconds=3.0))
+    world.run(0.1)
+    world.stop("entry-0")
+    world.run(4.0)
+    assert world.get_ends("j1") == ["completed"]
+    assert "entry-0" in world.quiet
+
+
+def test_a_stopping_entry_takes_nothing_that_would_outlive_it() -> None:
+    # Symptom: a connection ends without an answer. Sequence: SIGTERM; seconds
+    # later a request comes on a connection kept open; the process ends first.
+    # Cause: a process that ends soon took work as if it lived on.
+    world = make_world()
+    world.submit("entry-0", make_job("old", width=4, seconds=4.0))
+    world.run(0.1)
+    world.stop("entry-0")
+    world.run(3.5)
+    world.submit("entry-0", make_job("short", seconds=0.3))
+    world.submit("entry-0", make_job("long", seconds=2.0))
+    world.run(2.0)
+    assert world.get_ends("short") == ["completed"]
+    assert world.get_ends("long") == ["refused"]
+    assert not world.results["long"][0].ran
+
+
+def test_everybody_is_answered_before_a_stopping_entry_is_quiet() -> None:
+    # Symptom and cause as above, for work that takes longer than expected.
+    world = make_world()
+    world.submit("entry-0", make_job("slow", width=4, seconds=9.0))
+    world.run(0.1)
+    world.stop("entry-0")
+    world.run(6.0)
+    assert world.get_ends("slow") == ["given_up"]
+    assert "entry-0" in world.quiet
+    world.submit("entry-0", make_job("after", seconds=0.1))
+    world.run(0.1)
+    assert world.get_ends("after") == ["refused"]
+
+
+def test_a_configuration_reaches_entries_that_the_store_turns_away() -> None:
+    # Symptom: an entry serves an old configuration. Sequence: the store answers
+    # one entry only. Cause: configuration came from the store alone.
+    world = make_world()
+    newer = Configuration(7, (QUEUE._replace(prefix="/new/"),), 10**6)
+    world.processes["entry-0"].give(ConfigurationRead(newer))
+    world.run(0.05)
+    core = world.processes["entry-1"].core
+    assert core.routes.version == 7
+    assert core.find_queue("desk", "/checks/x") is None
+    assert core.find_queue("desk", "/new/x") is not None
+
+
+def test_an_older_configuration_is_never_put_in_force() -> None:
+    # Symptom: a configuration reverts. Sequence: a delayed read of an older
+    # version arrives after a newer one. Cause: the last arrival won.
+    world = make_world()
+    core = world.processes["entry-0"].core
+    newer = Configuration(7, (QUEUE,), 10**6)
+    for configuration in (newer, newer._replace(version=6)):
+        world.processes["entry-0"].give(ConfigurationRead(configuration))
+    assert core.routes.version == 7
+
+
+def test_a_new_entry_is_found_through_another() -> None:
+    world = make_world(entries=1)
+    entry = world.add_entry("entry-new")
+    world.run(1.0)
+    assert len(entry.core.dispatcher.fleet.views) == 3
+
+
+def test_the_longest_prefix_wins() -> None:
+    world = make_world(entries=1)
+    core = world.processes["entry-0"].core
+    inner = QUEUE._replace(name="inner", prefix="/checks/inner/")
+    configuration = Configuration(9, (QUEUE, inner), 10**6)
+    world.processes["entry-0"].give(ConfigurationRead(configuration))
+    assert core.find_queue("desk", "/checks/inner/1").name == "inner"
+    assert core.find_queue("desk", "/checks/1").name == "checks"
+    assert core.find_queue("other", "/checks/1") is None
--- /dev/null
+++ b/tests/core/runs/test_exploration.py
@@ -0,0 +1,223 @@
+"""Random faults, alone and together, against what must never happen.
+
+``RunsWorld`` checks after every step that no task runs twice at the same time
+and that no endpoint is over its capacity. At the end, with all faults over,
+jobs must be served again. A seed that ever failed is kept in ``FOUND``.
+"""
+
+from random import Random
+
+import pytest
+
+from tests.lib.fake_endpoint import Behaviour
+from tests.lib.runs_world import RunsWorld, make_job
+
+FOUND = (
+    # An entry started while a job was in flight elsewhere didn't know of it, and
+    # took the job when its caller submitted it again.
+    9,
+    26,
+    32,
+    35,
+    36,
+)
+"""Seeds that once failed, with their cause."""
+
+SEEDS = range(40)
+ENTRIES = ("entry-0", "entry-1", "entry-2")
+AGENTS = ("agent-0", "agent-1", "agent-2", "agent-3")
+STEPS = 120
+
+
+class Explorer:
+    """Brings random faults and submissions upon a world."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.world = RunsWorld(seed)
+        self.submitted = 0
+        for name in ENTRIES:
+            self.world.add_entry(name)
+        for name in AGENTS:
+            self.world.add_agent(name)
+        self.world.run(0.5)
+        self.world.lose_start = self._lose_start
+        self.world.lose_hold = lambda agent: self.rng.random() < self.loss
+        self.loss = 0.0
+
+    def _lose_start(self, order: object) -> float | None:
+        del order
+        return (
+            self.rng.choice((0.01, 2.0, 5.0)) if self.rng.random() < self.loss else None
+        )
+
+    def step(self) -> None:
+        """Do one random thing and let a little time pass."""
+        kinds = [self.submit] * 6 + [
+            self.submit_again,
+            self.kill_agent,
+            self.kill_entry,
+            self.darken_entry,
+            self.freeze,
+            self.cut,
+            self.crash_endpoint,
+            self.make_grey,
+            self.change_loss,
+            self.stop_entry,
+        ]
+        self.rng.choice(kinds)()
+        self.world.run(self.rng.choice((0.01, 0.05, 0.2, 0.5)))
+
+    def _pick_live(self, names: tuple[str, ...]) -> str | None:
+        live = [
+            name
+            for name in names
+            if not self.world.processes[name].dead
+            and not self.world.processes[name].frozen
+        ]
+        return self.rng.choice(live) if live else None
+
+    def submit(self) -> None:
+        """Submit a new job."""
+        entry = self._pick_live(ENTRIES)
+        if entry is not None:
+            self.submitted += 1
+            width = self.rng.choice((1, 2, 8, 16))
+            seconds = self.rng.choice((0.1, 0.4, 1.8))
+            job = make_job(f"j{self.submitted}", width, seconds)
+            self.world.submit(entry, job, self.rng.choice((2.0, 5.0)))
+
+    def submit_again(self) -> None:
+        """Submit a job again, as a caller does 1.3 s after a broken connection."""
+        if not self.submitted:
+            return
+        number = self.rng.randint(max(1, self.submitted - 5), self.submitted)
+        spec = self.world.specs[f"j{number}"]
+
+        def again() -> None:
+            entry = self._pick_live(ENTRIES)
+            if entry is not None:
+                self.world.submit(entry, spec)
+
+        self.world.after(1.3, again)
+
+    def kill_agent(self) -> None:
+        """Kill an agent and start it again."""
+        name = self._pick_live(AGENTS)
+        if name is not None:
+            self.world.kill(name)
+            self.world.after(0.7, lambda: self._start_agent(name))
+
+    def _start_agent(self, name: str) -> None:
+        self.world.add_agent(name)
+
+    def kill_entry(self) -> None:
+        """Kill an entry and start it again."""
+        name = self._pick_live(ENTRIES)
+        if name is not None:
+            self.world.kill(name)
+            self.world.after(0.7, lambda: self._start_entry(name))
+
+    def darken_entry(self) -> None:
+        """Take an entry's power and start it again."""
+        name = self._pick_live(ENTRIES)
+        if name is not None:
+            self.world.darken(name)
+            self.world.after(3.0, lambda: self._start_entry(name))
+
+    def stop_entry(self) -> None:
+        """Stop an entry in an orderly way and start it again."""
+        name = self._pick_live(ENTRIES)
+        if name is not None:
+            self.world.stop(name)
+            self.world.after(6.0, lambda: self._end_and_start(name))
+
+    def _end_and_start(self, name: str) -> None:
+        if not self.world.processes[name].dead:
+            self.world.kill(name)
+            self._start_entry(name)
+
+    def _start_entry(self, name: str) -> None:
+        if self.world.processes[name].dead:
+            self.world.add_entry(name)
+
+    def freeze(self) -> None:
+        """Suspend a process for a while."""
+        name = self._pick_live(ENTRIES + AGENTS)
+        if name is not None:
+            self.world.freeze(name)
+            process = self.world.processes[name]
+            seconds = self.rng.choice((0.3, 0.9, 2.0, 4.0))
+            self.world.after(seconds, lambda: self._thaw(name, process))
+
+    def _thaw(self, name: str, process: object) -> None:
+        if self.world.processes[name] is process:
+            self.world.thaw(name)
+
+    def cut(self) -> None:
+        """Cut a link for a while."""
+        one, other = self.rng.sample(ENTRIES + AGENTS, 2)
+        self.world.cut_link(one, other)
+        self.world.after(self.rng.choice((0.4, 2.0, 4.0)), self.world.heal)
+
+    def crash_endpoint(self) -> None:
+        """Crash an endpoint; another boot comes later."""
+        name = self.rng.choice(AGENTS)
+        if self.world.endpoints[name] is None:
+            return
+        self.world.crash_endpoint(name)
+        self.world.after(self.rng.choice((0.1, 2.0)), lambda: self._boot(name))
+
+    def _boot(self, name: str) -> None:
+        if self.world.endpoints[name] is None:
+            self.world.boot_endpoint(name)
+
+    def make_grey(self) -> None:
+        """Let an endpoint fail, hang or be slow for a while."""
+        endpoint = self.world.endpoints[self.rng.choice(AGENTS)]
+        if endpoint is None:
+            return
+        kinds = (
+            Behaviour(fails=True),
+            Behaviour(hangs=True),
+            Behaviour(speed=6.0),
+            Behaviour(unhealthy=True),
+        )
+        endpoint.behaviour = self.rng.choice(kinds)
+        self.world.after(3.0, lambda: self._cure(endpoint))
+
+    def _cure(self, endpoint) -> None:
+        endpoint.behaviour = Behaviour()
+
+    def change_loss(self) -> None:
+        """Change the share of calls to endpoints that get no answer."""
+        self.loss = self.rng.choice((0.0, 0.0, 0.05, 0.3))
+
+    def calm_down(self) -> None:
+        """End all faults."""
+        self.loss = 0.0
+        self.world.run(8.0)
+        self.world.heal()
+        for name in ENTRIES + AGENTS:
+            process = self.world.processes[name]
+            if process.frozen:
+                self.world.thaw(name)
+            if process.dead or process.core.stopping:
+                if not process.dead:
+                    self.world.kill(name)
+                start = self.world.add_agent if name in AGENTS else self.world.add_entry
+                start(name)
+        self.world.run(8.0)
+
+
+@pytest.mark.parametrize("seed", sorted({*FOUND, *SEEDS}))
+def test_nothing_runs_twice_at_once_under_random_faults(seed: int) -> None:
+    explorer = Explorer(seed)
+    for _ in range(STEPS):
+        explorer.step()
+    explorer.calm_down()
+    for number, entry in enumerate(ENTRIES):
+        explorer.world.submit(entry, make_job(f"last-{number}", width=4))
+    explorer.world.run(3.0)
+    for number in range(len(ENTRIES)):
+        assert explorer.world.get_ends(f"last-{number}") == ["completed"]
--- /dev/null
+++ b/tests/core/runs/test_failures.py
@@ -0,0 +1,289 @@
+"""Leased runs under failures: nothing runs twice at once, nothing is overfull.
+
+``RunsWorld`` checks both after every step; the tests bring about the danger and
+say what the callers must see.
+"""
+
+from tests.core.runs.test_path import make_world
+from tests.lib.fake_endpoint import Behaviour
+from tests.lib.runs_world import RunsWorld, make_job
+
+
+def find_agents(world: RunsWorld, job: str) -> list[str]:
+    """List the agents whose endpoints run something of a job."""
+    return [
+        name
+        for name, endpoint in world.endpoints.items()
+        if endpoint and any(task.startswith(job) for task in endpoint.alive)
+    ]
+
+
+def test_an_order_carried_out_late_starts_nothing() -> None:
+    # Symptom: a task runs on two endpoints. Sequence: an order to start gets no
+    # answer; the entry places the task elsewhere; the first endpoint carries the
+    # order out seconds later. Cause: silence was taken for a refusal.
+    world = make_world(agents=2)
+    lost = []
+
+    def lose_first(order) -> float | None:
+        if lost:
+            return None
+        lost.append(order)
+        return 2.0
+
+    world.lose_start = lose_first
+    world.submit("entry-0", make_job("j1", seconds=3.0))
+    world.run(6.0)
+    assert world.get_ends("j1") == ["completed"]
+    starts = [each for e in world.endpoints.values() if e for each in e.started]
+    assert len(starts) == 1
+
+
+def test_room_of_an_unanswered_order_stays_taken() -> None:
+    # Symptom: an endpoint is over its capacity. Sequence: orders that fill it get
+    # no answer but are carried out; their room is given to other tasks. Cause:
+    # room was freed before it was certain that the orders are void.
+    world = make_world(agents=1)
+    world.lose_start = lambda order: 0.01 if order.task.startswith("j1") else None
+    world.submit("entry-0", make_job("j1", width=10, seconds=1.0))
+    world.submit("entry-1", make_job("j2", width=10, seconds=1.0))
+    world.run(5.0)
+    assert world.get_ends("j1") == ["completed"]
+    assert world.get_ends("j2") == ["completed"]
+
+
+def test_runs_of_a_dead_entry_are_stopped_before_the_caller_comes_again() -> None:
+    # Symptom: a task runs twice. Sequence: an entry loses power; its caller
+    # submits the job again to another entry 1.3 s later, while the runs of the
+    # first go on. Cause: agents kept the runs of an entry that was gone.
+    world = make_world()
+    world.submit("entry-0", make_job("j1", width=4, seconds=3.0))
+    world.run(0.2)
+    world.darken("entry-0")
+    world.run(1.3)
+    world.submit("entry-1", make_job("j1", width=4, seconds=3.0))
+    world.run(8.0)
+    assert world.get_ends("j1") == ["completed"]
+
+
+def test_a_job_submitted_elsewhere_is_stopped_where_it_was() -> None:
+    # Symptom: a task runs twice. Sequence: the caller's connection goes silent;
+    # its entry doesn't notice; the caller submits again to another entry. Cause:
+    # the second entry didn't ask the first to stop.
+    world = make_world()
+    world.submit("entry-0", make_job("j1", width=4, seconds=2.0))
+    world.run(1.0)
+    world.submit("entry-1", make_job("j1", width=4, seconds=2.0))
+    world.run(4.0)
+    assert "completed" in world.get_ends("j1")
+    assert world.processes["entry-0"].core.dispatcher.jobs == {}
+
+
+def test_a_job_whose_first_entry_was_frozen_runs_once_at_a_time() -> None:
+    # Symptom: a task runs twice. Sequence: an entry freezes with runs at agents;
+    # the caller submits again elsewhere; the first wakes up and starts its tasks
+    # again. Cause: the woken entry acted on what it believed before.
+    world = make_world()
+    world.submit("entry-0", make_job("j1", width=4, seconds=2.0))
+    world.run(0.2)
+    world.freeze("entry-0")
+    world.run(1.6)
+    world.submit("entry-1", make_job("j1", width=4, seconds=2.0))
+    world.run(1.0)
+    world.thaw("entry-0")
+    world.run(8.0)
+    assert "completed" in world.get_ends("j1")
+
+
+def test_a_frozen_agent_acts_on_nothing_old() -> None:
+    # Symptom: a task runs twice. Sequence: an agent freezes; entries start its
+    # tasks elsewhere once its leases have lapsed; it wakes up and finds orders
+    # in its sockets. Cause: it carried out what its senders had given up.
+    world = make_world(agents=2)
+    world.freeze("agent-0")
+    world.submit("entry-0", make_job("j1", width=12, seconds=2.0))
+    world.run(4.0)
+    world.thaw("agent-0")
+    world.run(4.0)
+    assert world.get_ends("j1") == ["completed"]
+
+
+def test_an_agent_cut_off_alone_loses_its_runs_and_they_go_elsewhere() -> None:
+    # Symptom: a job never ends, or a task runs twice. Sequence: the link between
+    # one entry and one agent is cut while a run goes on. Cause: the entry can't
+    # tell a dead agent from a cut.
+    world = make_world(entries=1, agents=2)
+    world.submit("entry-0", make_job("j1", width=12, seconds=2.0))
+    world.run(0.2)
+    world.cut_link("entry-0", "agent-0")
+    world.run(6.0)
+    assert world.get_ends("j1") == ["completed"]
+
+
+def test_a_restarted_agent_stops_what_its_predecessor_started() -> None:
+    # Symptom: an endpoint is over its capacity. Sequence: an agent is killed and
+    # restarted within the lease; it counts the room as free that the runs of its
+    # predecessor take. Cause: a restarted agent knows nothing of them.
+    world = make_world(agents=1)
+    world.submit("entry-0", make_job("j1", width=5, seconds=2.0))
+    world.run(0.2)
+    world.kill("agent-0")
+    world.run(0.5)
+    agent = world.add_agent("agent-0")
+    world.run_until(lambda: agent.core.open)
+    world.run(0.01)
+    world.submit("entry-1", make_job("j2", width=8, seconds=2.0))
+    world.run(8.0)
+    assert world.get_ends("j1") == ["completed"]
+    assert world.get_ends("j2") == ["completed"]
+
+
+def test_runs_of_a_silent_endpoint_go_elsewhere_after_its_lease() -> None:
+    # Symptom: a job hangs. Sequence: an endpoint loses power; its agent's calls
+    # get no answer. Cause: renewals without an answer kept extending the lease
+    # that the agent waited for.
+    world = make_world(agents=2)
+    world.submit("entry-0", make_job("j1", width=12, seconds=1.0))
+    world.run(0.2)
+    world.crash_endpoint(find_agents(world, "j1")[0])
+    world.run(5.0)
+    assert world.get_ends("j1") == ["completed"]
+
+
+def test_an_endpoint_that_boots_anew_has_lost_its_runs() -> None:
+    # Symptom: a job hangs until its deadline. Sequence: an endpoint crashes and
+    # another boot reports at once. Cause: the agent waited for runs of the old.
+    world = make_world(agents=1)
+    world.submit("entry-0", make_job("j1", width=4, seconds=1.0))
+    world.run(0.2)
+    world.boot_endpoint("agent-0")
+    world.run(4.0)
+    assert world.get_ends("j1") == ["completed"]
+
+
+def test_a_draining_endpoint_gets_nothing_new_and_finishes() -> None:
+    # Symptom: a task starts on an endpoint that said it leaves. Cause: runs that
+    # waited at its agent were started after that word.
+    world = make_world(agents=2)
+    world.submit("entry-0", make_job("j1", width=24, seconds=0.5))
+    world.run(0.1)
+    endpoint = world.endpoints["agent-0"]
+    assert endpoint is not None
+    endpoint.draining = True
+    world.processes["agent-0"].give(_report(world, "agent-0"))
+    before = len(endpoint.started)
+    world.run(3.0)
+    assert world.get_ends("j1") == ["completed"]
+    assert len(endpoint.started) == before
+
+
+def _report(world: RunsWorld, name: str):
+    from godwitbank._internal.core.runs.events import Reported
+
+    endpoint = world.endpoints[name]
+    assert endpoint is not None
+    return Reported(endpoint.report(world.now))
+
+
+def test_a_late_report_of_a_former_boot_changes_nothing() -> None:
+    # Symptom: orders go to an endpoint that has crashed. Sequence: a report that
+    # a cut held up arrives after another boot has reported. Cause: the newest
+    # arrival was taken for the newest report.
+    world = make_world(agents=1)
+    late = _report(world, "agent-0")
+    newer = world.boot_endpoint("agent-0")
+    world.run(0.2)
+    world.processes["agent-0"].give(late)
+    assert world.processes["agent-0"].core.endpoint.instance == newer.instance
+
+
+def test_an_endpoint_that_fails_everything_is_avoided() -> None:
+    # Symptom: jobs fail. Sequence: one endpoint fails all it starts, at once, so
+    # it looks free and draws all work. Cause: room was all that placing looked at.
+    world = make_world(agents=3)
+    grey = world.endpoints["agent-0"]
+    assert grey is not None
+    grey.behaviour = Behaviour(fails=True)
+    for number in range(20):
+        world.submit("entry-0", make_job(f"j{number}", width=2, seconds=0.2))
+        world.run(0.1)
+    world.run(2.0)
+    ends = [world.get_ends(f"j{number}") for number in range(20)]
+    assert ends == [["completed"]] * 20
+    assert len(grey.started) < 10
+
+
+def test_a_job_that_can_never_be_done_fails_and_ejects_nobody() -> None:
+    # Symptom: all endpoints are ejected by one hopeless job. Cause: a task that
+    # fails everywhere was taken for endpoints that fail everything.
+    world = make_world(agents=4)
+    for endpoint in world.endpoints.values():
+        assert endpoint is not None
+        endpoint.behaviour = Behaviour(fails=True)
+    world.submit("entry-0", make_job("bad", width=1, seconds=0.2))
+    world.run(1.0)
+    assert world.get_ends("bad") == ["failed"]
+    views = world.processes["entry-0"].core.dispatcher.fleet.views.values()
+    assert not [view for view in views if view.health.ejected_until > world.now]
+
+
+def test_a_run_that_stands_still_is_stopped_and_moved() -> None:
+    # Symptom: a job hangs. Sequence: an endpoint holds its runs, renews, and
+    # makes no progress. Cause: nothing looked at progress.
+    world = make_world(agents=2)
+    slow = world.endpoints["agent-0"]
+    assert slow is not None
+    slow.behaviour = Behaviour(hangs=True)
+    world.submit("entry-0", make_job("j1", width=12, seconds=0.4))
+    world.run(4.0)
+    assert world.get_ends("j1") == ["completed"]
+
+
+def test_one_lost_renewal_loses_no_run() -> None:
+    # Symptom: runs lapse. Cause: the lease was so short that one lost answer
+    # let it run out.
+    world = make_world(agents=1)
+    world.submit("entry-0", make_job("j1", width=4, seconds=2.0))
+    world.run(0.1)
+    calls = []
+
+    def lose_every_third(agent: str) -> bool:
+        calls.append(agent)
+        return len(calls) % 3 == 0
+
+    world.lose_hold = lose_every_third
+    world.run(4.0)
+    assert world.get_ends("j1") == ["completed"]
+    endpoint = world.endpoints["agent-0"]
+    assert endpoint is not None
+    assert len(endpoint.started) == 4
+
+
+def test_a_caller_that_hangs_up_frees_its_room() -> None:
+    world = make_world(agents=1)
+    caller = world.submit("entry-0", make_job("j1", width=10, seconds=3.0))
+    world.run(0.2)
+    world.hang_up("entry-0", caller)
+    world.run(0.2)
+    assert not find_agents(world, "j1")
+
+
+def test_a_job_refused_as_not_run_never_starts() -> None:
+    # Symptom: a caller was told that its job has not run, and it has. Cause: a
+    # refusal went out after something had been sent to an agent.
+    world = make_world(agents=1)
+    world.submit("entry-0", make_job("first", width=40, seconds=3.0))
+    world.run(0.1)
+    for number in range(10):
+        world.submit("entry-0", make_job(f"j{number}", width=10, seconds=0.3))
+    world.run(20.0)
+    refused = {
+        job
+        for job, results in world.results.items()
+        if any(result.end == "refused" for result in results)
+    }
+    endpoint = world.endpoints["agent-0"]
+    assert endpoint is not None
+    started = {task.partition(".")[0] for _, task, _ in endpoint.started}
+    assert refused
+    assert not refused & started
--- /dev/null
+++ b/tests/core/runs/test_path.py
@@ -0,0 +1,50 @@
+"""Jobs run to their end on a calm day."""
+
+from tests.lib.runs_world import CAPACITY, RunsWorld, make_job
+
+
+def make_world(entries: int = 2, agents: int = 3, seed: int = 0) -> RunsWorld:
+    world = RunsWorld(seed)
+    for number in range(entries):
+        world.add_entry(f"entry-{number}")
+    for number in range(agents):
+        world.add_agent(f"agent-{number}")
+    world.run(1.0)
+    return world
+
+
+def test_a_job_is_completed_once_all_its_tasks_are_done() -> None:
+    world = make_world()
+    world.submit("entry-0", make_job("j1", width=8))
+    world.run(0.3)
+    assert not world.results["j1"]
+    world.run(0.3)
+    assert world.get_ends("j1") == ["completed"]
+
+
+def test_more_work_than_room_waits_and_is_served() -> None:
+    world = make_world(agents=1)
+    for number in range(4):
+        world.submit(f"entry-{number % 2}", make_job(f"j{number}", width=7, seconds=1))
+    world.run(6.0)
+    ends = [world.get_ends(f"j{number}") for number in range(4)]
+    assert ends == [["completed"]] * 4
+
+
+def test_urgent_work_passes_what_waits() -> None:
+    world = make_world(entries=1, agents=1)
+    world.submit("entry-0", make_job("long", width=16, seconds=2.0))
+    world.run(0.2)
+    world.submit("entry-0", make_job("late", width=8, seconds=2.0))
+    world.submit("entry-0", make_job("short", width=2, seconds=0.1))
+    world.run(2.3)
+    assert world.get_ends("short") == ["completed"]
+    assert world.get_ends("late") == []
+
+
+def test_what_fits_no_endpoint_is_refused_at_once_and_has_not_run() -> None:
+    world = make_world()
+    world.submit("entry-0", make_job("j1", cpu=CAPACITY.cpu + 1))
+    world.run(0.01)
+    result = world.results["j1"][0]
+    assert (result.end, result.ran) == ("refused", False)
--- /dev/null
+++ b/tests/lib/fake_endpoint.py
@@ -0,0 +1,183 @@
+"""An endpoint that runs leased tasks, driven by the time it is told.
+
+It guards nothing: it starts whatever it is told, over its capacity and twice,
+and writes down what it should not have been told.
+"""
+
+from typing import NamedTuple
+
+from godwitbank._internal.core.runs.events import (
+    Held,
+    HoldFailed,
+    Renew,
+    Start,
+    StartAnswered,
+    Stop,
+)
+from godwitbank._internal.core.runs.verdicts import HoldVerdict, StartVerdict
+from godwitbank._internal.models.jobs import (
+    EndpointReport,
+    ListedEnd,
+    ListedRun,
+    RunEnd,
+)
+from godwitbank._internal.models.resources import Resources
+
+STOP_GRACE = 0.05
+
+
+class Behaviour(NamedTuple):
+    """How tasks run here.
+
+    :param speed: factor on run times.
+    :param fails: every task fails at once.
+    :param hangs: no task moves.
+    :param unhealthy: starts are turned away.
+    """
+
+    speed: float = 1.0
+    fails: bool = False
+    hangs: bool = False
+    unhealthy: bool = False
+
+
+class Alive:
+    """A run at work."""
+
+    def __init__(self, task: str, run: int, began: float, seconds: float) -> None:
+        self.task = task
+        self.run = run
+        self.began = began
+        self.seconds = seconds
+        self.stop_at: float | None = None
+
+
+class FakeEndpoint:
+    """One boot of an endpoint."""
+
+    def __init__(
+        self, instance: str, service: str, capacity: Resources, clock_base: int = 10**6
+    ) -> None:
+        self.instance = instance
+        self.service = service
+        self.capacity = capacity
+        self.behaviour = Behaviour()
+        self.alive: dict[str, Alive] = {}
+        self.ends: list[ListedEnd] = []
+        self.highest: dict[str, int] = {}
+        self.token = 0
+        self.lease_until = 0
+        self.clock_rate = 0.98
+        self.draining = False
+        self.started: list[tuple[float, str, int]] = []
+        self._clock_base = clock_base
+        self._number = 0
+        self._sequence = 0
+
+    def clock(self, now: float) -> int:
+        """Read the endpoint's own clock, in milliseconds."""
+        return self._clock_base + int(now * 1000 * self.clock_rate)
+
+    def report(self, now: float) -> EndpointReport:
+        """Make the next report."""
+        self._sequence += 1
+        return EndpointReport(
+            self.instance,
+            self.service,
+            self.capacity,
+            ("a", "rack-1"),
+            self.draining,
+            self.clock(now),
+            self._sequence,
+            "endpoint:1",
+        )
+
+    def advance(self, now: float) -> None:
+        """End what is due."""
+        lapsed = self.clock(now) >= self.lease_until
+        for run in list(self.alive.values()):
+            if run.stop_at is not None and now >= run.stop_at:
+                self._end(run, RunEnd.STOPPED)
+            elif lapsed:
+                self._end(run, RunEnd.LOST)
+            elif now - run.began >= run.seconds and not self.behaviour.hangs:
+                failed = self.behaviour.fails
+                self._end(run, RunEnd.FAILED if failed else RunEnd.DONE)
+
+    def _end(self, run: Alive, end: RunEnd) -> None:
+        del self.alive[run.task]
+        self._number += 1
+        self.ends.append(ListedEnd(self._number, run.task, run.run, end, ""))
+
+    def _extend(self, until: int | None, now: float) -> None:
+        if until is not None:
+            longest = self.clock(now) + 1000
+            self.lease_until = max(self.lease_until, min(until, longest))
+
+    def start(self, order: Start, now: float, seconds: float) -> StartAnswered:
+        """Take an order to start."""
+        self.advance(now)
+
+        def answer(verdict: StartVerdict) -> StartAnswered:
+            clock = self.clock(now)
+            return StartAnswered(order.task, order.run, verdict, order.token, clock)
+
+        if order.instance != self.instance:
+            return answer(StartVerdict.OTHER_INSTANCE)
+        if self.behaviour.unhealthy:
+            return answer(StartVerdict.UNHEALTHY)
+        if order.token < self.token:
+            return answer(StartVerdict.FENCED)
+        self.token = order.token
+        if self.clock(now) >= order.lease_until:
+            return answer(StartVerdict.LAPSED)
+        present = self.alive.get(order.task)
+        if present is not None and present.run == order.run:
+            return answer(StartVerdict.STARTED)
+        if order.run <= self.highest.get(order.task, 0):
+            return answer(StartVerdict.SUPERSEDED)
+        self._extend(order.lease_until, now)
+        self.highest[order.task] = order.run
+        seconds = 0.02 if self.behaviour.fails else seconds * self.behaviour.speed
+        self.alive[order.task] = Alive(order.task, order.run, now, seconds)
+        self.started.append((now, order.task, order.run))
+        return answer(StartVerdict.STARTED)
+
+    def stop(self, order: Stop, now: float) -> None:
+        """Take an order to stop."""
+        self.advance(now)
+        if order.instance != self.instance or order.token < self.token:
+            return
+        self.token = order.token
+        run = self.alive.get(order.task)
+        if run is not None and run.run == order.run:
+            run.stop_at = now + STOP_GRACE
+        self.highest[order.task] = max(self.highest.get(order.task, 0), order.run)
+
+    def hold(self, order: Renew, now: float) -> Held | HoldFailed:
+        """Take a lease renewal and answer with the lists."""
+        self.advance(now)
+        clock = self.clock(now)
+        if order.instance != self.instance:
+            return HoldFailed(order.renewal, HoldVerdict.OTHER_INSTANCE, clock)
+        if order.token < self.token:
+            return HoldFailed(order.renewal, HoldVerdict.FENCED, clock)
+        self.token = order.token
+        self._extend(order.lease_until, now)
+        self.ends = [end for end in self.ends if end.number > order.seen]
+        return self.list_all(order, now)
+
+    def list_all(self, order: Renew, now: float) -> Held:
+        """List what runs and what ended since the last that was seen."""
+        self.advance(now)
+        running = tuple(
+            ListedRun(run.task, run.run, "", self._measure(run, now))
+            for run in self.alive.values()
+        )
+        ended = tuple(end for end in self.ends if end.number > order.seen)
+        return Held(order.renewal, running, ended, self.clock(now), self.instance)
+
+    def _measure(self, run: Alive, now: float) -> int:
+        if self.behaviour.hangs:
+            return 0
+        return min(99, int(100 * (now - run.began) / run.seconds))
--- /dev/null
+++ b/tests/lib/runs_world.py
@@ -0,0 +1,447 @@
+"""Entries, agents and endpoints for leased runs, driven by one clock.
+
+The real cores run here; streams, calls to endpoints and time are simulated, so
+that a test can lose an answer, cut a link or stop a process at any moment. What
+must never happen is checked after every step.
+"""
+
+import heapq
+import itertools
+from collections import defaultdict
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from godwitbank._internal.core.events import (
+    CloseStream,
+    Dial,
+    Received,
+    Send,
+    StopRequested,
+    StreamClosed,
+    StreamOpened,
+    Tick,
+)
+from godwitbank._internal.core.identity import Identity, make_hello
+from godwitbank._internal.core.runs.agent import RunAgentCore
+from godwitbank._internal.core.runs.entry import RunEntryCore
+from godwitbank._internal.core.runs.events import (
+    AddressesRead,
+    Answer,
+    CallerGone,
+    ConfigurationRead,
+    Departed,
+    HoldFailed,
+    JobSubmitted,
+    Note,
+    Quiet,
+    Renew,
+    Reported,
+    Start,
+    StartAnswered,
+    Stop,
+)
+from godwitbank._internal.core.runs.verdicts import HoldVerdict, StartVerdict
+from godwitbank._internal.models.jobs import (
+    Configuration,
+    JobResult,
+    JobSpec,
+    QueueRules,
+    StepSpec,
+)
+from godwitbank._internal.models.messages import Role
+from godwitbank._internal.models.resources import Resources
+from tests.lib.fake_endpoint import FakeEndpoint
+
+LINK_DELAY = 0.001
+CALL_DELAY = 0.002
+CALL_TIMEOUT = 0.3
+REPORT_PERIOD = 1.5
+LOCAL_RESTART = 0.6
+
+QUEUE = QueueRules("checks", "desk", "/checks/", "desk", 1, 3, 1.6, 0.06)
+CAPACITY = Resources(16000, 65536, 0)
+
+
+def make_job(
+    name: str, width: int = 1, seconds: float = 0.4, cpu: int = 1600, queue: str = ""
+) -> JobSpec:
+    """Make a job of one step; its payload tells the fake how long tasks run."""
+    step = StepSpec(width, Resources(cpu, 64, 0), seconds)
+    return JobSpec(name, queue or QUEUE.name, str(seconds), (step,))
+
+
+class Process:
+    """One process: its core, its streams, and whether it runs."""
+
+    def __init__(self, world: "RunsWorld", name: str, core: Any) -> None:
+        self.world = world
+        self.name = name
+        self.core = core
+        self.frozen = False
+        self.dead = False
+        self.backlog: list[object] = []
+        self.streams: dict[int, Wire] = {}
+        self.generation = 0
+
+    def give(self, event: object) -> None:
+        """Let the core handle an event, or keep it while the process is frozen."""
+        if self.dead:
+            return
+        if self.frozen:
+            self.backlog.append(event)
+            return
+        actions = self.core.handle(event, self.world.now)
+        self.world.perform(self, actions)
+        self.world.schedule_wakeup(self)
+
+
+class Wire:
+    """One end of a stream."""
+
+    def __init__(self, number: int, owner: Process) -> None:
+        self.number = number
+        self.owner = owner
+        self.other: Wire | None = None
+        self.closed = False
+
+
+class RunsWorld:
+    """A deployment in one clock."""
+
+    def __init__(self, seed: int = 0, config: Configuration | None = None) -> None:
+        self.now = 100.0
+        self.rng = Random(seed)
+        self.processes: dict[str, Process] = {}
+        self.endpoints: dict[str, FakeEndpoint | None] = {}
+        self.results: dict[str, list[JobResult]] = defaultdict(list)
+        self.notes: list[tuple[float, str, Note]] = []
+        self.quiet: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.lose_start: Callable[[Start], float | None] = lambda order: None
+        """Seconds after which an order whose answer is lost is carried out."""
+        self.lose_hold: Callable[[str], bool] = lambda agent: False
+        self.jobs: dict[int, str] = {}
+        self.faults: list[str] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._streams = itertools.count(1)
+        self._callers = itertools.count(1)
+        self.configuration = config or Configuration(1, (QUEUE,), 10**6)
+
+    # Building
+
+    def add_entry(self, name: str) -> Process:
+        """Start an entry."""
+        identity = Identity(name, f"{name}#{next(self._sequence)}", name, "zone-1")
+        core = RunEntryCore(identity, Random(self.rng.random()), self.now)
+        process = self.processes[name] = Process(self, name, core)
+        process.give(ConfigurationRead(self.configuration))
+        others = [each.name for each in self._list(RunEntryCore)]
+        process.give(AddressesRead(tuple(others)))
+        return process
+
+    def add_agent(self, name: str, capacity: Resources = CAPACITY) -> Process:
+        """Start an agent, and its endpoint if there is none."""
+        identity = Identity(name, f"{name}#{next(self._sequence)}", name, "zone-1")
+        process = Process(self, name, RunAgentCore(identity, self.now))
+        self.processes[name] = process
+        entries = [each.name for each in self._list(RunEntryCore)]
+        process.give(AddressesRead(tuple(entries)))
+        if self.endpoints.get(name) is None:
+            self.boot_endpoint(name, capacity)
+        return process
+
+    def boot_endpoint(self, name: str, capacity: Resources = CAPACITY) -> FakeEndpoint:
+        """Start an endpoint beside an agent."""
+        instance = f"i-{name}-{next(self._sequence)}"
+        base = 10**6 + 10**5 * next(self._sequence)
+        endpoint = FakeEndpoint(instance, QUEUE.service, capacity, base)
+        self.endpoints[name] = endpoint
+        self.after(0.0, lambda: self._report(name, endpoint))
+        return endpoint
+
+    def _report(self, name: str, endpoint: FakeEndpoint) -> None:
+        if self.endpoints.get(name) is not endpoint:
+            return
+        process = self.processes.get(name)
+        if process is not None and not process.dead and not process.frozen:
+            process.give(Reported(endpoint.report(self.now)))
+        self.after(REPORT_PERIOD, lambda: self._report(name, endpoint))
+
+    def _list(self, kind: type) -> list[Process]:
+        return [
+            each
+            for each in self.processes.values()
+            if isinstance(each.core, kind) and not each.dead
+        ]
+
+    # Time
+
+    def after(self, delay: float, act: Callable[[], None]) -> None:
+        """Do something later."""
+        heapq.heappush(self._events, (self.now + delay, next(self._sequence), act))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            at, _, act = heapq.heappop(self._events)
+            self.now = max(self.now, at)
+            act()
+            self.check()
+        self.now = until
+        self.check()
+
+    def run_until(self, holds: Callable[[], bool], seconds: float = 20.0) -> None:
+        """Let time pass until something holds.
+
+        :raises AssertionError: when it doesn't in time.
+        """
+        until = self.now + seconds
+        while not holds():
+            assert self.now < until, "it didn't happen"
+            self.run(0.01)
+
+    def schedule_wakeup(self, process: Process) -> None:
+        """Tick a process when its core asks for it."""
+        process.generation += 1
+        generation = process.generation
+        delay = max(0.001, process.core.next_wakeup - self.now)
+
+        def wake() -> None:
+            if process.generation == generation and not process.frozen:
+                process.give(Tick())
+
+        self.after(delay, wake)
+
+    # What must never happen
+
+    def check(self) -> None:
+        """Look for a task that runs twice and for endpoints that are overfull."""
+        seen: dict[str, str] = {}
+        for name, endpoint in self.endpoints.items():
+            if endpoint is None:
+                continue
+            endpoint.advance(self.now)
+            used = 0
+            for task in endpoint.alive:
+                if task in seen:
+                    fault = f"{self.now:.3f}: {task} at {seen[task]} and {name}"
+                    self.faults.append(fault)
+                seen[task] = name
+                used += self._find_cpu(task)
+            if used > endpoint.capacity.cpu:
+                self.faults.append(f"{self.now:.3f}: {name} is over its capacity")
+        assert not self.faults, self.faults[0]
+
+    def _find_cpu(self, task: str) -> int:
+        return self.specs[task.partition(".")[0]].steps[0].needs.cpu
+
+    # Callers
+
+    specs: dict[str, JobSpec]
+
+    def submit(self, entry: str, spec: JobSpec, patience: float = 10.0) -> int:
+        """Hand a job to an entry."""
+        self.specs = {**getattr(self, "specs", {}), spec.job: spec}
+        caller = next(self._callers)
+        self.jobs[caller] = spec.job
+        process = self.processes[entry]
+        self.after(0.0, lambda: process.give(JobSubmitted(caller, spec, patience)))
+        return caller
+
+    def hang_up(self, entry: str, caller: int) -> None:
+        """Let a caller's connection break."""
+        self.processes[entry].give(CallerGone(caller))
+
+    def get_ends(self, job: str) -> list[str]:
+        """List how a job ended, as its callers were told."""
+        return [str(result.end) for result in self.results[job]]
+
+    # Faults
+
+    def kill(self, name: str) -> None:
+        """End a process; its streams are reset."""
+        process = self.processes[name]
+        process.dead = True
+        for wire in list(process.streams.values()):
+            self._close(wire)
+
+    def darken(self, name: str) -> None:
+        """Take the power of a process's VM: nothing is reset."""
+        self.processes[name].dead = True
+
+    def crash_endpoint(self, name: str) -> None:
+        """End an endpoint without a word."""
+        self.endpoints[name] = None
+
+    def freeze(self, name: str) -> None:
+        """Suspend a process."""
+        self.processes[name].frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Let a suspended process go on; it finds what came meanwhile."""
+        process = self.processes[name]
+        process.frozen = False
+        backlog, process.backlog = process.backlog, []
+        for event in backlog:
+            process.give(event)
+        process.give(Tick())
+
+    def cut_link(self, one: str, other: str) -> None:
+        """Cut two processes off from each other; frames are lost silently."""
+        self.cut.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cut.clear()
+
+    def stop(self, name: str) -> None:
+        """Ask a process to end in an orderly way."""
+        self.processes[name].give(StopRequested())
+
+    def leave(self, name: str) -> None:
+        """Let an endpoint say that it ends, and end."""
+        endpoint = self.endpoints[name]
+        assert endpoint is not None
+        self.endpoints[name] = None
+        self.processes[name].give(Departed(endpoint.instance))
+
+    # Actions
+
+    def perform(self, process: Process, actions: list[Any]) -> None:
+        """Carry out what a core asked for."""
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(process, action)
+            elif isinstance(action, Dial):
+                self._dial(process, action.address)
+            elif isinstance(action, CloseStream):
+                wire = process.streams.pop(action.stream, None)
+                if wire is not None:
+                    self._close(wire)
+            elif isinstance(action, Start):
+                self._start(process, action)
+            elif isinstance(action, Stop):
+                self._order_stop(process, action)
+            elif isinstance(action, Renew):
+                self._renew(process, action)
+            elif isinstance(action, Answer):
+                self.results[action.result.job].append(action.result)
+            elif isinstance(action, Note):
+                self.notes.append((self.now, process.name, action))
+            elif isinstance(action, Quiet):
+                self.quiet.add(process.name)
+
+    def _is_cut(self, one: Process, other: Process) -> bool:
+        return frozenset((one.name, other.name)) in self.cut
+
+    def _dial(self, process: Process, address: str) -> None:
+        target = self.processes.get(address)
+
+        def connect() -> None:
+            # A suspended process's kernel takes the connection; nobody greets.
+            reachable = target is not None and not (target.dead or target.frozen)
+            if not reachable or target is None or self._is_cut(process, target):
+                process.give(StreamClosed(0, address))
+                return
+            mine = Wire(next(self._streams), process)
+            theirs = Wire(next(self._streams), target)
+            mine.other, theirs.other = theirs, mine
+            process.streams[mine.number] = mine
+            target.streams[theirs.number] = theirs
+            hello = make_hello(process.core.identity, self._role(process))
+            target.give(StreamOpened(theirs.number, hello))
+            welcome = make_hello(target.core.identity, self._role(target))
+            process.give(StreamOpened(mine.number, welcome, address))
+
+        self.after(LINK_DELAY, connect)
+
+    def _role(self, process: Process) -> Role:
+        return Role.ENTRY if isinstance(process.core, RunEntryCore) else Role.AGENT
+
+    def _send(self, process: Process, action: Send) -> None:
+        wire = process.streams.get(action.stream)
+        if (
+            wire is None
+            or wire.other is None
+            or type(action.message).__name__ in ("Hello",)
+        ):
+            return
+        other = wire.other
+
+        def deliver() -> None:
+            if wire.closed or other.closed or self._is_cut(process, other.owner):
+                return
+            other.owner.give(Received(other.number, action.message))
+
+        self.after(LINK_DELAY, deliver)
+
+    def _close(self, wire: Wire) -> None:
+        wire.closed = True
+        wire.owner.streams.pop(wire.number, None)
+        other = wire.other
+        if other is None or other.closed:
+            return
+
+        def reset() -> None:
+            if other.closed or self._is_cut(wire.owner, other.owner):
+                return
+            other.closed = True
+            other.owner.streams.pop(other.number, None)
+            other.owner.give(StreamClosed(other.number))
+
+        self.after(LINK_DELAY, reset)
+
+    def _start(self, process: Process, order: Start) -> None:
+        endpoint = self.endpoints.get(process.name)
+        seconds = float(order.payload)
+        late = self.lose_start(order)
+        lost = StartAnswered(
+            order.task, order.run, StartVerdict.NO_ANSWER, order.token, None
+        )
+        if endpoint is None or late is not None:
+            if endpoint is not None and late is not None:
+                self.after(late, lambda: self._start_late(endpoint, order, seconds))
+            self.after(CALL_TIMEOUT, lambda: process.give(lost))
+            return
+
+        def carry_out() -> None:
+            answer = endpoint.start(order, self.now, seconds)
+            self.after(CALL_DELAY, lambda: process.give(answer))
+
+        self.after(CALL_DELAY, carry_out)
+
+    def _start_late(self, endpoint: FakeEndpoint, order: Start, sec: float) -> None:
+        endpoint.start(order, self.now, sec)
+
+    def _order_stop(self, process: Process, order: Stop) -> None:
+        endpoint = self.endpoints.get(process.name)
+        if endpoint is not None:
+            self.after(CALL_DELAY, lambda: endpoint.stop(order, self.now))
+
+    def _renew(self, process: Process, order: Renew) -> None:
+        endpoint = self.endpoints.get(process.name)
+        if endpoint is None or self.lose_hold(process.name):
+            failed = HoldFailed(order.renewal, HoldVerdict.NO_ANSWER, None)
+            delay = CALL_TIMEOUT + order.wait / 1000
+            self.after(delay, lambda: process.give(failed))
+            return
+
+        def carry_out() -> None:
+            answer = endpoint.hold(order, self.now)
+            until = self.now + order.wait / 1000
+
+            def poll() -> None:
+                nonlocal answer
+                if not isinstance(answer, HoldFailed):
+                    answer = endpoint.list_all(order, self.now)
+                    if not answer.ended and self.now < until:
+                        self.after(0.005, poll)
+                        return
+                self.after(CALL_DELAY, lambda: process.give(answer))
+
+            poll()
+
+        self.after(CALL_DELAY, carry_out)
