Refuse under overload before the queue grows, and let late work wait

Change: tasks whose latest start has passed wait behind all others, at agents too; a job is refused when the work that waits at all entries would take all endpoints over 20 ms; entries tell each other their backlog by horizon.

--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -478,7 +478,7 @@
         if self._now >= self.links.pulse_at:
             self.links.pulse_at = self._now + PULSE
             for link in self.links:
-                self._send(link.stream, Pulse(0.0))
+                self._send(link.stream, Pulse([]))
         if self.endpoint.has_lapsed(self._now) and self.shelf.list_placed():
             # No renewal reached the endpoint within the longest lease: it has
             # ended everything by itself, whether it lives or not.
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -6,7 +6,7 @@
 
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.events import Send
-from godwitbank._internal.core.runs.admission import Admission
+from godwitbank._internal.core.runs.admission import HORIZONS, Admission
 from godwitbank._internal.core.runs.estimates import Estimates
 from godwitbank._internal.core.runs.events import Answer, Note, RunAction
 from godwitbank._internal.core.runs.fleet import AgentView, Fleet
@@ -26,6 +26,10 @@
 """Waiting tasks looked at in one go; behind that many that found no place the
 rest is as unlikely to find one."""
 
+LATE_RANK = 1000.0
+"""Seconds of rank behind every timely task; what has been late for longer comes
+after what is late for less, as it is less likely to be of use still."""
+
 COME_BACK = 1.0
 """Seconds after which a caller that was refused may try again."""
 
@@ -98,8 +102,9 @@
             if views and not any(step.needs.fits(view.capacity) for view in views):
                 return "too_large"
         capacity = self.fleet.measure_capacity(service)
-        waiting = self._get_waiting(job)
-        return self.admission.judge(job, waiting, capacity, self._now)
+        own = self.measure_backlog()
+        tasks = self._get_waiting(job).count
+        return self.admission.judge(job, own, tasks, capacity, self._now)
 
     def refuse(self, job: Job, reason: str) -> None:
         """Answer that a job has not run and was not taken."""
@@ -112,9 +117,13 @@
     def _get_waiting(self, job: Job) -> WaitingTasks:
         return self._waiting.setdefault(job.queue.service, WaitingTasks())
 
-    def measure_backlog(self) -> float:
-        """Tell the core-seconds of work that waits here."""
-        return sum(waiting.work for waiting in self._waiting.values())
+    def measure_backlog(self) -> list[float]:
+        """Tell the core-seconds of work that waits here, by ``HORIZONS``."""
+        totals = [0.0] * len(HORIZONS)
+        for waiting in self._waiting.values():
+            timely = waiting.measure_timely(HORIZONS, self._now)
+            totals = [sum(pair) for pair in zip(totals, timely, strict=True)]
+        return totals
 
     def give_up(self, job: Job, reason: str) -> None:
         """End a job without its being done; what runs of it is stopped."""
@@ -145,7 +154,7 @@
 
     def _abandon(self, task: Task) -> None:
         if task.state is TaskState.WAITING:
-            self._get_waiting(task.job).drop(task)
+            self._get_waiting(task.job).drop()
             task.state = TaskState.DONE
         elif task.state is TaskState.BLOCKED:
             task.state = TaskState.DONE
@@ -171,15 +180,14 @@
         views = self.fleet.list_open(service)
         unplaced: list[Task] = []
         while views and len(unplaced) < LOOKAHEAD:
-            tasks = waiting.take(1)
-            if not tasks:
+            task = waiting.take(self._now)
+            if task is None:
                 break
-            task = tasks[0]
             place = choose_place(task, views, self._zone, self._rng, self._now)
             if place is None:
                 unplaced.append(task)
                 continue
-            waiting.drop(task)
+            waiting.drop()
             self._send(task, place.view, place.parked)
         waiting.put_back(unplaced)
 
@@ -198,13 +206,18 @@
             task.run,
             task.job.spec.payload,
             *rules.needs,
-            task.job.rank - self._now,
+            self._rank_in(task),
             task.expected * view.health.factor(),
             rules.spread,
             task.checkpoint,
         )
         self._out(Send(view.stream, order))
 
+    def _rank_in(self, task: Task) -> float:
+        left = task.job.rank - self._now
+        # Late work lets all timely work pass, at the agent too.
+        return left if left >= 0 else LATE_RANK - left
+
     # Outcomes
 
     def hear_begun(self, view: AgentView, message: RunBegun) -> None:
--- a/src/godwitbank/_internal/models/run_messages.py
+++ b/src/godwitbank/_internal/models/run_messages.py
@@ -99,10 +99,11 @@
 class Pulse(NamedTuple):
     """Proof of life; between entries it also tells the backlog.
 
-    :param backlog: core-seconds of work that waits at the sender.
+    :param backlog: core-seconds of work that waits at the sender and must start
+        within each of the horizons all entries share; empty from agents.
     """
 
-    backlog: float
+    backlog: list[float]
 
 
 class Rules(NamedTuple):
