Let agents decide whose runs of a job count; serve sooner after a restart

Change: while an entry misses a peer it claims each job at all agents, which stop others' runs of it and take no more from them; a stopping entry says so, and is not missed. An agent keeps its endpoint's report in the store and recalls it; an endpoint booted anew turns away orders that name the old boot. Jobs wait for agents that are connected and don't know their endpoint yet. Starts, stops, reloads and the loss of the store are lines of the decision log.

--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -19,15 +19,18 @@
     Tick,
 )
 from godwitbank._internal.core.identity import Identity, make_hello
+from godwitbank._internal.core.runs.claims import Claims
 from godwitbank._internal.core.runs.endpoint import Endpoint, Unknown
 from godwitbank._internal.core.runs.events import (
     AddressesRead,
     Departed,
     Held,
     HoldFailed,
+    KeepReport,
     Note,
     Quiet,
     Reported,
+    ReportRecalled,
     RunAction,
     StartAnswered,
 )
@@ -44,6 +47,8 @@
     Role,
 )
 from godwitbank._internal.models.run_messages import (
+    Claim,
+    Claimed,
     EndpointNews,
     Holding,
     Pulse,
@@ -93,6 +98,7 @@
         self._outbox = Outbox()
         self._told_news: dict[int, EndpointNews] = {}
         self._told_room: dict[int, Room] = {}
+        self._claims = Claims()
         self._settled: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._quiet = False
         self._out: list[RunAction] = []
@@ -103,6 +109,7 @@
             StreamClosed: self._close,
             Received: self._receive,
             Reported: self._report,
+            ReportRecalled: self._recall,
             Departed: self._depart,
             StartAnswered: self._hear_start,
             Held: self._hear_hold,
@@ -113,6 +120,7 @@
         self._receivers: dict[type, Callable] = {
             StartRun: self._start,
             StopRun: self._stop_run,
+            Claim: self._claim,
             Peers: self._hear_peers,
             Pulse: self._ignore,
         }
@@ -125,6 +133,7 @@
         self._start_parked()
         self._out += self.endpoint.list_renewals(now, bool(self.shelf.list_placed()))
         self._tell_all()
+        self._answer_claims()
         self._check_quiet()
         return self._out
 
@@ -215,7 +224,8 @@
 
     def _end_by_order(self, held: HeldRun, reason: str) -> None:
         if held.state is RunState.PARKED:
-            self._settle(held, RunEnd.NOT_STARTED)
+            taken = reason == RunEnd.TAKEN_OVER
+            self._settle(held, RunEnd.TAKEN_OVER if taken else RunEnd.NOT_STARTED)
             return
         if held.stop_reason:
             return
@@ -257,6 +267,9 @@
                 # Another run of the task may still be alive here.
                 self._tell_outcome(held, RunEnd.NOT_STARTED)
             return
+        if not self._claims.allows(held.job, held.owner):
+            self._tell_outcome(held, RunEnd.TAKEN_OVER)
+            return
         if not self.open:
             self._tell_outcome(held, RunEnd.CLOSED)
             return
@@ -295,6 +308,23 @@
         if held.owner == link.hello.incarnation:
             self._end_by_order(held, "entry")
 
+    def _claim(self, link: Link, claim: Claim) -> None:
+        self._claims.add(claim.job, link.hello.incarnation, link.stream, self._now)
+        for held in self._list_others(claim.job):
+            self._end_by_order(held, RunEnd.TAKEN_OVER)
+
+    def _list_others(self, job: str) -> list[HeldRun]:
+        return [
+            held
+            for held in self.shelf.runs.values()
+            if held.job == job and not self._claims.allows(job, held.owner)
+        ]
+
+    def _answer_claims(self) -> None:
+        for job in self._claims.list_unanswered():
+            if not self._list_others(job):
+                self._send(self._claims.answer(job), Claimed(job))
+
     def _hear_start(self, event: StartAnswered) -> None:
         self.endpoint.clock.hear(event.clock, self._now)
         held = self.shelf.runs.get(event.task)
@@ -393,8 +423,9 @@
         if held.state is RunState.PARKED:
             return
         result = end.end
-        if result is RunEnd.STOPPED and held.stop_reason == RunEnd.STALLED:
-            result = RunEnd.STALLED
+        told = (RunEnd.STALLED, RunEnd.TAKEN_OVER)
+        if result is RunEnd.STOPPED and held.stop_reason in told:
+            result = RunEnd(held.stop_reason)
         self._settle(held, result, end.checkpoint)
 
     def _settle(self, held: HeldRun, end: RunEnd, checkpoint: str = "") -> None:
@@ -445,10 +476,16 @@
                 open=self.endpoint.open,
                 draining=report.draining,
             )
+            self._out.append(KeepReport(report))
         self.shelf.capacity = self.endpoint.capacity
         if not self.endpoint.open:
             self._return_parked()
 
+    def _recall(self, event: ReportRecalled) -> None:
+        if self.endpoint.recall(event.report, self._now):
+            self._note("endpoint_recalled", instance=event.report.instance)
+            self.shelf.capacity = self.endpoint.capacity
+
     def _depart(self, event: Departed) -> None:
         if event.instance == self.endpoint.instance:
             self._lose_endpoint("left")
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/claims.py
@@ -0,0 +1,47 @@
+"""Claims of jobs at one agent: whose runs of a job may be here.
+
+Two entries that can't reach each other may both have a job: its caller went from
+one to the other. The agents reach both, and let the newest claim win.
+"""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+KEEP_SECONDS = 20.0
+"""Seconds a claim is kept; longer than any caller waits (10 s)."""
+
+
+class Claimant(NamedTuple):
+    """The entry that claimed a job last."""
+
+    incarnation: str
+    at: float
+
+
+class Claims:
+    """Claims at one agent, and the entries that wait for their answer."""
+
+    def __init__(self) -> None:
+        self._claims: OrderedDict[str, Claimant] = OrderedDict()
+        self._unanswered: dict[str, int] = {}
+
+    def add(self, job: str, incarnation: str, stream: int, now: float) -> None:
+        """Note a claim that is to be answered on a stream."""
+        self._claims.pop(job, None)
+        self._claims[job] = Claimant(incarnation, now)
+        self._unanswered[job] = stream
+        while now - next(iter(self._claims.values())).at > KEEP_SECONDS:
+            self._claims.popitem(last=False)
+
+    def allows(self, job: str, incarnation: str) -> bool:
+        """Tell whether an entry may still start runs of a job."""
+        claimant = self._claims.get(job)
+        return claimant is None or claimant.incarnation == incarnation
+
+    def list_unanswered(self) -> list[str]:
+        """List the jobs whose claim has not been answered."""
+        return list(self._unanswered)
+
+    def answer(self, job: str) -> int:
+        """Take the stream on which a claim is answered."""
+        return self._unanswered.pop(job)
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -102,6 +102,10 @@
             if views and not any(step.needs.fits(view.capacity) for view in views):
                 return "too_large"
         capacity = self.fleet.measure_capacity(service)
+        if not capacity and self.fleet.is_coming():
+            # Agents are back and will know their endpoints within a second or
+            # so; most jobs can wait that long, and what can't is given up.
+            return None
         own = self.measure_backlog()
         tasks = self._get_waiting(job).count
         return self.admission.judge(job, own, tasks, capacity, self._now)
@@ -275,6 +279,9 @@
             self._complete(task)
         elif end is RunEnd.FAILED:
             self._fail(task, agent)
+        elif end is RunEnd.TAKEN_OVER:
+            task.state = TaskState.DONE
+            self.give_up(job, "submitted_elsewhere")
         elif end is RunEnd.INVALID:
             task.state = TaskState.DONE
             result = JobResult(job.spec.job, JobEnd.FAILED, "invalid", True)
--- a/src/godwitbank/_internal/core/runs/endpoint.py
+++ b/src/godwitbank/_internal/core/runs/endpoint.py
@@ -97,6 +97,20 @@
             self.raise_token(now)
         return Change(changes, replaced)
 
+    def recall(self, report: EndpointReport, now: float) -> bool:
+        """Take a report that a former agent kept, unless a newer one came.
+
+        Saves the wait for the next report. If the endpoint was booted anew, it
+        turns orders away that name the boot recalled.
+        """
+        if self.instance:
+            return False
+        recalled = report._replace(sequence=0, clock=0)
+        self.hear_report(recalled, now)
+        # Its clock must come from the endpoint itself.
+        self.clock.reset()
+        return True
+
     def forget(self) -> None:
         """Forget a boot of the endpoint that has ended."""
         if self.instance:
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -29,7 +29,11 @@
 )
 from godwitbank._internal.core.runs.fleet import AgentView
 from godwitbank._internal.core.runs.links import PULSE, Link, Links
-from godwitbank._internal.core.runs.ownership import YIELD_SECONDS, Takings
+from godwitbank._internal.core.runs.ownership import (
+    LAPSE_SECONDS,
+    YIELD_SECONDS,
+    Takings,
+)
 from godwitbank._internal.core.runs.routes import RouteTable
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.jobs import (
@@ -40,12 +44,15 @@
 )
 from godwitbank._internal.models.messages import (
     PROTOCOL_VERSION,
+    Goodbye,
     Hello,
     Message,
     Peers,
     Role,
 )
 from godwitbank._internal.models.run_messages import (
+    Claim,
+    Claimed,
     EndpointNews,
     Holding,
     Pulse,
@@ -76,17 +83,19 @@
 
 
 class Delayed:
-    """A job whose start waits until another entry has stopped it.
+    """A job whose start waits until others' runs of it are gone.
 
     :param abandoned: it won't be started here; a third entry waits in turn.
+    :param claimed_at: streams of the agents that have not answered the claim.
     """
 
-    __slots__ = ("job", "start_at", "abandoned")
+    __slots__ = ("job", "start_at", "abandoned", "claimed_at")
 
     def __init__(self, job: Job, start_at: float) -> None:
         self.job = job
         self.start_at = start_at
         self.abandoned = False
+        self.claimed_at: set[int] = set()
 
 
 class RunEntryCore:
@@ -127,6 +136,7 @@
             Room: self._hear_room,
             EndpointNews: self._hear_news,
             Holding: self._hear_holding,
+            Claimed: self._hear_claimed,
             Pulse: self._ignore,
         }
         self._peer_receivers: dict[type, Callable] = {
@@ -136,6 +146,7 @@
             Took: self._hear_took,
             Yield: self._hear_yield,
             Yielded: self._hear_yielded,
+            Goodbye: self._hear_goodbye,
         }
 
     def handle(self, event: object, now: float) -> list[RunAction]:
@@ -230,8 +241,38 @@
         if owner:
             self._ask_owner(job, owner)
             return
+        if self._takings.is_blind(self._now):
+            self._claim(job)
+            return
         self._take(job)
 
+    def _claim(self, job: Job) -> None:
+        """Ask the agents to stop what others run of a job.
+
+        An entry that can't be reached may have taken it. A failure shows as a
+        task that runs twice after its caller went from one entry to the other.
+        """
+        name = job.spec.job
+        views = self.dispatcher.fleet.views
+        if not views:
+            self._take(job)
+            return
+        delayed = Delayed(job, self._now + LAPSE_SECONDS)
+        delayed.claimed_at = set(views)
+        self._delayed[name] = delayed
+        self.counts.add("jobs_delayed", "claimed")
+        self._tell_taken(name)
+        for stream in views:
+            self._send(stream, Claim(name))
+
+    def _hear_claimed(self, view: AgentView, message: Claimed) -> None:
+        delayed = self._delayed.get(message.job)
+        if delayed is None:
+            return
+        delayed.claimed_at.discard(view.stream)
+        if not delayed.claimed_at:
+            self._start_now(delayed)
+
     def _take(self, job: Job) -> None:
         self.dispatcher.submit(job)
         if job.spec.job in self.dispatcher.jobs:
@@ -265,7 +306,7 @@
         del link
         self._takings.forget(message.job)
         delayed = self._delayed.get(message.job)
-        if delayed is not None:
+        if delayed is not None and not delayed.claimed_at:
             self._start_now(delayed)
 
     def _start_now(self, delayed: Delayed) -> None:
@@ -277,6 +318,10 @@
         for name, delayed in list(self._delayed.items()):
             if delayed.start_at > self._now:
                 continue
+            if delayed.claimed_at:
+                # Whoever hasn't answered by now has let its leases lapse.
+                self._start_now(delayed)
+                continue
             owner = self._takings.find(name)
             link = self.links.find(owner)
             if link is not None:
@@ -369,6 +414,7 @@
         if hello.role == Role.AGENT:
             self._open_agent(link)
             return
+        self._takings.regain(hello.incarnation)
         before = self.links.list_known()
         self.links.learn([hello.address], self._now)
         self._dial()
@@ -405,7 +451,8 @@
         if view is not None:
             self.dispatcher.lose_view(view)
         elif self.links.find(link.hello.incarnation) is None:
-            self._takings.lose(link.hello.incarnation, self._now)
+            if not link.leaving:
+                self._takings.lose(link.hello.incarnation, self._now)
             self.dispatcher.admission.forget(link.hello.incarnation)
 
     def _drop_link(self, stream: int, reason: str) -> None:
@@ -456,6 +503,10 @@
     def _hear_pulse(self, link: Link, pulse: Pulse) -> None:
         self.dispatcher.admission.hear(link.hello.incarnation, pulse.backlog)
 
+    def _hear_goodbye(self, link: Link, message: Goodbye) -> None:
+        del message
+        link.leaving = True
+
     def _hear_took(self, link: Link, message: Took) -> None:
         for name, age in zip(message.jobs, message.ages, strict=False):
             self._takings.note(name, age, link.hello.incarnation, self._now)
@@ -530,6 +581,10 @@
         elif self._now >= self._stopped_at + UNREADY_SECONDS:
             self._quiet = not self.dispatcher.jobs and not self._delayed
         if self._quiet:
+            for link in self._list_peers():
+                # Nothing of this entry's jobs is left; its end is no reason to
+                # look for any.
+                self._send(link.stream, Goodbye("stopping"))
             # What still arrives is refused, so that nothing is taken and cut.
             self.dispatcher.ends_at = self._now
             self._out.append(Quiet())
--- a/src/godwitbank/_internal/core/runs/events.py
+++ b/src/godwitbank/_internal/core/runs/events.py
@@ -59,6 +59,12 @@
     report: EndpointReport
 
 
+class ReportRecalled(NamedTuple):
+    """The endpoint's last report, as kept in the store by a former agent."""
+
+    report: EndpointReport
+
+
 class Departed(NamedTuple):
     """The endpoint said that it ends now."""
 
@@ -146,6 +152,12 @@
     wait: int
 
 
+class KeepReport(NamedTuple):
+    """Keep a report in the store, for an agent that is started anew."""
+
+    report: EndpointReport
+
+
 class Answer(NamedTuple):
     """Tell a caller the result of its job."""
 
@@ -168,4 +180,15 @@
     """Nothing is left to do; a stopping process may exit."""
 
 
-RunAction = Send | CloseStream | Dial | Start | Stop | Renew | Answer | Note | Quiet
+RunAction = (
+    Send
+    | CloseStream
+    | Dial
+    | Start
+    | Stop
+    | Renew
+    | KeepReport
+    | Answer
+    | Note
+    | Quiet
+)
--- a/src/godwitbank/_internal/core/runs/fleet.py
+++ b/src/godwitbank/_internal/core/runs/fleet.py
@@ -108,6 +108,13 @@
             if view.open and view.service == service
         ]
 
+    def is_coming(self) -> bool:
+        """Tell whether an agent is connected that doesn't know its endpoint yet."""
+        return any(
+            view.news is None or not view.news.instance or not view.news.settled
+            for view in self.views.values()
+        )
+
     def find(self, address: str) -> AgentView | None:
         """Find the agent with an address."""
         for view in self.views.values():
--- a/src/godwitbank/_internal/core/runs/held.py
+++ b/src/godwitbank/_internal/core/runs/held.py
@@ -53,6 +53,11 @@
         self.stopped_at = 0.0
         self.confirmed_at = float("inf")
 
+    @property
+    def job(self) -> str:
+        """Id of the task's job: the task's name up to the first dot."""
+        return self.order.task.partition(".")[0]
+
     @property
     def step(self) -> str:
         """Name of the task's step: the task's name without its index."""
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -24,7 +24,7 @@
 class Link:
     """An open stream to another process."""
 
-    __slots__ = ("stream", "hello", "heard_at", "dialled", "received")
+    __slots__ = ("stream", "hello", "heard_at", "dialled", "received", "leaving")
 
     def __init__(self, stream: int, hello: Hello, dialled: str, now: float) -> None:
         self.stream = stream
@@ -32,6 +32,7 @@
         self.dialled = dialled
         self.heard_at = now
         self.received = 0
+        self.leaving = False
 
 
 class Dialling(NamedTuple):
--- a/src/godwitbank/_internal/core/runs/ownership.py
+++ b/src/godwitbank/_internal/core/runs/ownership.py
@@ -55,6 +55,16 @@
         """Note that a peer's last stream ended."""
         self._lost[incarnation] = now
 
+    def regain(self, incarnation: str) -> None:
+        """Note a stream to a peer; it tells what it has taken meanwhile."""
+        self._lost.pop(incarnation, None)
+
+    def is_blind(self, now: float) -> bool:
+        """Tell whether a peer that was lost may have taken jobs unheard."""
+        lately = now - REMEMBER_SECONDS
+        self._lost = {each: at for each, at in self._lost.items() if at > lately}
+        return bool(self._lost)
+
     def find(self, job: str) -> str:
         """Find the incarnation of the peer that took a job, or an empty string."""
         taking = self._jobs.get(job)
--- a/src/godwitbank/_internal/models/jobs.py
+++ b/src/godwitbank/_internal/models/jobs.py
@@ -112,6 +112,7 @@
     STOPPED = "stopped"
     LOST = "lost"
     STALLED = "stalled"
+    TAKEN_OVER = "taken_over"
     NOT_STARTED = "not_started"
     CLOSED = "closed"
     SUPERSEDED = "superseded"
--- a/src/godwitbank/_internal/models/messages.py
+++ b/src/godwitbank/_internal/models/messages.py
@@ -9,6 +9,8 @@
 from typing import NamedTuple
 
 from godwitbank._internal.models.run_messages import (
+    Claim,
+    Claimed,
     EndpointNews,
     Holding,
     Pulse,
@@ -309,6 +311,8 @@
     | Yield
     | Yielded
     | RunBegun
+    | Claim
+    | Claimed
 )
 
 REGISTRY: tuple[type[Message], ...] = (
@@ -344,4 +348,6 @@
     Yield,
     Yielded,
     RunBegun,
+    Claim,
+    Claimed,
 )
--- a/src/godwitbank/_internal/models/run_messages.py
+++ b/src/godwitbank/_internal/models/run_messages.py
@@ -134,3 +134,15 @@
     """Nothing of the job runs any more by the sender's orders."""
 
     job: str
+
+
+class Claim(NamedTuple):
+    """The caller of a job came to the sender; stop others' runs of it here."""
+
+    job: str
+
+
+class Claimed(NamedTuple):
+    """Nothing of the job runs here by the orders of others, nor will it."""
+
+    job: str
--- a/src/godwitbank/_internal/operations/run_agent.py
+++ b/src/godwitbank/_internal/operations/run_agent.py
@@ -6,8 +6,6 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
-from absl import logging
-
 from godwitbank._internal.core.events import CloseStream, Dial, Send, StopRequested
 from godwitbank._internal.core.identity import Identity, make_hello
 from godwitbank._internal.core.runs.agent import RunAgentCore
@@ -15,14 +13,17 @@
     AddressesRead,
     Held,
     HoldFailed,
+    KeepReport,
     Note,
     Quiet,
     Renew,
+    ReportRecalled,
     RunAction,
     Start,
     StartAnswered,
     Stop,
 )
+from godwitbank._internal.models.jobs import EndpointReport
 from godwitbank._internal.models.messages import Message, Role
 from godwitbank._internal.network.streams import StreamEvents, StreamTable
 from godwitbank._internal.operations.clocks import read_boot_time
@@ -54,16 +55,30 @@
         """Close connections."""
 
 
+class ReportKeeper(Protocol):
+    """Keeps the endpoint's last report where a restarted agent finds it."""
+
+    async def keep_report(self, report: EndpointReport) -> None:
+        """Keep a report; failing to is no harm but a wait after a restart."""
+
+    async def recall_report(self) -> EndpointReport | None:
+        """Find the report that was kept last."""
+
+
 class RunAgentProcess:
     """One agent for leased runs."""
 
-    def __init__(self, identity: Identity, orders: Orders, log: DecisionLog) -> None:
+    def __init__(
+        self, identity: Identity, orders: Orders, keeper: ReportKeeper, log: DecisionLog
+    ) -> None:
         self.core = RunAgentCore(identity, read_boot_time())
         self.exporter = Exporter(self.core.counts)
         self.stopping = asyncio.Event()
         self._quiet = asyncio.Event()
         self._orders = orders
+        self._keeper = keeper
         self._log = log
+        self._incarnation = identity.incarnation
         self._tasks: set[asyncio.Task[None]] = set()
         self._inbox = Inbox(
             self.core, self._perform, lambda: self.core.next_wakeup, read_boot_time
@@ -92,6 +107,8 @@
                 self._spawn(self._renew(action))
             elif isinstance(action, Stop):
                 self._spawn(self._orders.stop(action))
+            elif isinstance(action, KeepReport):
+                self._spawn(self._keeper.keep_report(action.report))
             elif isinstance(action, CloseStream):
                 self.streams.write(action.stream, writes.pop(action.stream, []))
                 self.streams.close(action.stream, action.reason == "silence")
@@ -116,15 +133,20 @@
     async def _renew(self, order: Renew) -> None:
         self._inbox.put(await self._orders.renew(order))
 
+    async def _recall(self) -> None:
+        report = await self._keeper.recall_report()
+        if report is not None:
+            self._inbox.put(ReportRecalled(report))
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT; then let running tasks finish."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         owner = asyncio.create_task(self._inbox.run())
-        logging.info("agent starts")
+        self._spawn(self._recall())
+        self._log.write("started", "", {"incarnation": self._incarnation})
         await wait_unless_failed(self.stopping, owner)
-        logging.info("agent stops")
         self._inbox.put(StopRequested())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(STOP_SECONDS):
@@ -133,4 +155,5 @@
         self.streams.close_all()
         owner.cancel()
         await self._orders.close()
+        self._log.write("stopped", "", {"lines_dropped": self._log.dropped})
         self._log.close()
--- a/src/godwitbank/_internal/operations/run_entry.py
+++ b/src/godwitbank/_internal/operations/run_entry.py
@@ -5,8 +5,6 @@
 import signal
 from random import Random
 
-from absl import logging
-
 from godwitbank._internal.core.events import CloseStream, Dial, Send, StopRequested
 from godwitbank._internal.core.identity import Identity, make_hello
 from godwitbank._internal.core.runs.entry import RunEntryCore
@@ -43,6 +41,7 @@
         self._quiet = asyncio.Event()
         self._owner: asyncio.Task[None] | None = None
         self._log = log
+        self._incarnation = identity.incarnation
         self._numbers = itertools.count(1)
         self._callers: dict[int, asyncio.Future[JobResult]] = {}
         self._inbox = Inbox(
@@ -123,9 +122,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         self._owner = asyncio.create_task(self._inbox.run())
-        logging.info("entry starts")
+        self._log.write("started", "", {"incarnation": self._incarnation})
         await wait_unless_failed(self.stopping, self._owner)
-        logging.info("entry stops")
         self._inbox.put(StopRequested())
         await wait_unless_failed(self._quiet, self._owner)
 
@@ -135,4 +133,5 @@
         self.streams.close_all()
         if self._owner is not None:
             self._owner.cancel()
+        self._log.write("stopped", "", {"lines_dropped": self._log.dropped})
         self._log.close()
--- a/src/godwitbank/_internal/platform/programs.py
+++ b/src/godwitbank/_internal/platform/programs.py
@@ -7,10 +7,10 @@
 from random import Random
 from typing import Any
 
-from absl import logging
 from litestar import Litestar, Response, get
 
 from godwitbank._internal.core.identity import Identity
+from godwitbank._internal.exceptions import SettingsError
 from godwitbank._internal.operations.clocks import read_boot_time
 from godwitbank._internal.operations.decisions import DecisionLog
 from godwitbank._internal.operations.run_agent import RunAgentProcess
@@ -48,10 +48,17 @@
     )
 
 
-def _watch_settings(process: RunAgentProcess | RunEntryProcess) -> None:
+def _watch_settings(
+    process: RunAgentProcess | RunEntryProcess, log: DecisionLog
+) -> None:
     def reload() -> None:
-        settings = PlatformSettings.from_environment()
-        logging.info("settings read again")
+        try:
+            settings = PlatformSettings.from_environment()
+        except SettingsError as error:
+            # The old settings stay in force; a process must not die of a file.
+            log.write("settings_rejected", "", {"error": error.message})
+            return
+        log.write("settings_reloaded", "", {"seeds": settings.seeds})
         process.learn_entries(settings.seeds)
 
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
@@ -65,9 +72,9 @@
     settings = PlatformSettings.from_environment()
     log = DecisionLog(STANDARD_OUTPUT, settings.name, read_boot_time)
     orders = EndpointOrders(settings.endpoint)
-    process = RunAgentProcess(_identify(settings), orders, log)
-    _watch_settings(process)
-    store = StoreClient(settings.store)
+    store = StoreClient(settings.store, settings.name, log)
+    process = RunAgentProcess(_identify(settings), orders, store, log)
+    _watch_settings(process, log)
     reports = HttpServer(
         make_reports_app(process), bind(settings.listen_control, "listen.control")
     )
@@ -95,15 +102,15 @@
     settings = PlatformSettings.from_environment()
     log = DecisionLog(STANDARD_OUTPUT, settings.name, read_boot_time)
     process = RunEntryProcess(_identify(settings), Random(os.urandom(8)), log)
-    _watch_settings(process)
+    _watch_settings(process, log)
     loop = asyncio.get_running_loop()
     listener = bind(settings.stream, "port-range")
     server = await loop.create_server(process.streams.make_accepted, sock=listener)
     process.learn_entries(settings.seeds)
-    store = StoreClient(settings.store)
+    store = StoreClient(settings.store, settings.name, log)
     watchers = [
         asyncio.create_task(store.watch_configuration(process.install)),
-        asyncio.create_task(store.register_entry(settings.name, settings.stream)),
+        asyncio.create_task(store.register_entry(settings.stream)),
         asyncio.create_task(_find_entries(store, process)),
     ]
     callers = HttpServer(
--- a/src/godwitbank/_internal/platform/store.py
+++ b/src/godwitbank/_internal/platform/store.py
@@ -6,9 +6,9 @@
 
 import httpx
 import msgspec
-from absl import logging
 
-from godwitbank._internal.models.jobs import Configuration
+from godwitbank._internal.models.jobs import Configuration, EndpointReport
+from godwitbank._internal.operations.decisions import DecisionLog
 from godwitbank._internal.platform.bodies import decode_configuration
 
 WATCH_SECONDS = 20.0
@@ -22,6 +22,9 @@
 RETRY_SECONDS = 0.3
 """Pause after a call that failed."""
 
+REPORTS_TABLE = "reports"
+"""Our table of the endpoints' last reports, one row a VM."""
+
 ENTRIES_TABLE = "entries"
 """Our table of the entries' stream addresses, one row a VM."""
 
@@ -43,7 +46,10 @@
 class StoreClient:
     """Reads, watches and registers at the store."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, name: str, log: DecisionLog) -> None:
+        self._name = name
+        self._log = log
+        self._lost = False
         self._client = httpx.AsyncClient(base_url=f"http://{address}", trust_env=False)
 
     async def watch_configuration(
@@ -60,9 +66,8 @@
                     seen = await self._read_configuration(deliver)
                 seen = await self._await_change(seen, deliver)
             except (httpx.HTTPError, msgspec.DecodeError, ValueError) as error:
-                logging.warning("store not read: %s", type(error).__name__)
                 seen = 0
-                await asyncio.sleep(RETRY_SECONDS)
+                await self._pause(error)
 
     async def _read_configuration(
         self, deliver: Callable[[Configuration], None]
@@ -88,24 +93,56 @@
     async def _get(self, path: str, query: dict[str, str], seconds: float) -> _Rows:
         response = await self._client.get(path, params=query, timeout=seconds)
         response.raise_for_status()
+        self._regain()
         return _rows_decoder.decode(response.content)
 
-    async def register_entry(self, name: str, address: str) -> None:
+    async def register_entry(self, address: str) -> None:
         """Write where this entry's streams are, until it succeeds."""
-        value = base64.b64encode(address.encode()).decode()
-        row = {"table": ENTRIES_TABLE, "part": "", "key": name, "value": value}
-        body = msgspec.json.encode({"expect-rev": [], "puts": [row], "remove": []})
-        headers = {"Content-Type": "application/json"}
         while True:
             try:
-                response = await self._client.post(
-                    "/-/rows-tx", content=body, headers=headers, timeout=CALL_SECONDS
-                )
-                response.raise_for_status()
+                await self._put(ENTRIES_TABLE, address.encode())
                 return
             except httpx.HTTPError as error:
-                logging.warning("entry not registered: %s", type(error).__name__)
-                await asyncio.sleep(RETRY_SECONDS)
+                await self._pause(error)
+
+    async def _put(self, table: str, value: bytes) -> None:
+        """Write this VM's row of a table, whatever stood there."""
+        text = base64.b64encode(value).decode()
+        row = {"table": table, "part": "", "key": self._name, "value": text}
+        body = msgspec.json.encode({"expect-rev": [], "puts": [row], "remove": []})
+        headers = {"Content-Type": "application/json"}
+        response = await self._client.post(
+            "/-/rows-tx", content=body, headers=headers, timeout=CALL_SECONDS
+        )
+        response.raise_for_status()
+        self._regain()
+
+    async def keep_report(self, report: EndpointReport) -> None:
+        """Keep the endpoint's report; tried once, as the next may differ."""
+        try:
+            await self._put(REPORTS_TABLE, msgspec.json.encode(report))
+        except httpx.HTTPError as error:
+            fields = {"error": type(error).__name__}
+            self._log.write("report_not_kept", "", fields)
+
+    async def recall_report(self) -> EndpointReport | None:
+        """Find the report kept last on this VM; ``None`` if that fails."""
+        query = {
+            "table": REPORTS_TABLE,
+            "part": "",
+            "from": self._name,
+            "page-limit": "1",
+        }
+        try:
+            rows = await self._get("/-/rows-get", query, CALL_SECONDS)
+            for row in rows.rows:
+                if row.key == self._name:
+                    value = base64.b64decode(row.value)
+                    return msgspec.json.decode(value, type=EndpointReport)
+        except (httpx.HTTPError, msgspec.DecodeError, ValueError) as error:
+            fields = {"error": type(error).__name__}
+            self._log.write("report_not_recalled", "", fields)
+        return None
 
     async def find_entries(self) -> tuple[str, ...]:
         """Read where entries are, until it succeeds."""
@@ -116,8 +153,18 @@
                 values = [base64.b64decode(row.value).decode() for row in rows.rows]
                 return tuple(values)
             except (httpx.HTTPError, msgspec.DecodeError, ValueError) as error:
-                logging.warning("entries not read: %s", type(error).__name__)
-                await asyncio.sleep(RETRY_SECONDS)
+                await self._pause(error)
+
+    async def _pause(self, error: Exception) -> None:
+        if not self._lost:
+            self._lost = True
+            self._log.write("store_lost", "", {"error": type(error).__name__})
+        await asyncio.sleep(RETRY_SECONDS)
+
+    def _regain(self) -> None:
+        if self._lost:
+            self._lost = False
+            self._log.write("store_regained", "", {})
 
     async def close(self) -> None:
         """Close connections."""
--- a/tests/core/runs/test_failures.py
+++ b/tests/core/runs/test_failures.py
@@ -4,9 +4,11 @@
 say what the callers must see.
 """
 
+from godwitbank._internal.core.runs.events import Reported, ReportRecalled
+from godwitbank._internal.models.resources import Resources
 from tests.core.runs.test_path import make_world
-from tests.lib.fake_endpoint import Behaviour
-from tests.lib.runs_world import RunsWorld, make_job
+from tests.lib.fake_endpoint import Behaviour, FakeEndpoint
+from tests.lib.runs_world import QUEUE, RunsWorld, make_job
 
 
 def find_agents(world: RunsWorld, job: str) -> list[str]:
@@ -178,8 +180,6 @@
 
 
 def _report(world: RunsWorld, name: str):
-    from godwitbank._internal.core.runs.events import Reported
-
     endpoint = world.endpoints[name]
     assert endpoint is not None
     return Reported(endpoint.report(world.now))
@@ -287,3 +287,61 @@
     started = {task.partition(".")[0] for _, task, _ in endpoint.started}
     assert refused
     assert not refused & started
+
+
+def test_a_restarted_agent_serves_before_the_next_report() -> None:
+    # Symptom: an endpoint gets no work for up to 1.5 s after its agent was
+    # restarted. Cause: the agent waited for the endpoint's next report.
+    world = make_world(agents=1)
+    world.kill("agent-0")
+    agent = world.add_agent("agent-0")
+    agent.give(ReportRecalled(world.kept["agent-0"]))
+    world.run(0.1)
+    assert agent.core.open
+
+
+def test_a_report_recalled_of_an_earlier_boot_is_found_out() -> None:
+    # Symptom: runs are lost on an endpoint that isn't there. Sequence: agent and
+    # endpoint crash together; the new agent recalls the report of the old boot,
+    # whose capacity may differ. Cause: what was kept was taken for what is.
+    world = make_world(agents=1)
+    world.kill("agent-0")
+    smaller = Resources(8000, 65536, 0)
+    world.endpoints["agent-0"] = FakeEndpoint("i-new", QUEUE.service, smaller)
+    agent = world.add_agent("agent-0")
+    agent.give(ReportRecalled(world.kept["agent-0"]))
+    world.run(0.1)
+    assert not agent.core.open
+    world.boot_endpoint("agent-0", smaller)
+    world.run(0.5)
+    assert agent.core.open
+    assert agent.core.shelf.capacity.cpu == 8000
+
+
+def test_a_job_waits_for_agents_that_are_just_back() -> None:
+    # Symptom: all jobs are refused for a second after everything was restarted.
+    # Cause: agents that were connected but had not heard of their endpoints yet
+    # counted as absent.
+    world = make_world(agents=1)
+    world.kill("agent-0")
+    world.run(0.1)
+    world.add_agent("agent-0")
+    world.run(0.01)
+    world.submit("entry-0", make_job("j1", seconds=1.0))
+    world.run(3.5)
+    assert world.get_ends("j1") == ["completed"]
+
+
+def test_a_job_taken_by_an_entry_that_is_cut_off_is_claimed_at_the_agents() -> None:
+    # Symptom: a task runs twice. Sequence: two entries lose each other, not the
+    # agents; one takes a job; its caller's connection breaks and it goes to the
+    # other. Cause: the second entry couldn't know of the first one's runs.
+    world = make_world()
+    world.cut_link("entry-0", "entry-1")
+    world.run(1.0)
+    world.submit("entry-0", make_job("j1", width=4, seconds=2.0))
+    world.run(1.3)
+    world.submit("entry-1", make_job("j1", width=4, seconds=2.0))
+    world.run(4.0)
+    assert "completed" in world.get_ends("j1")
+    assert not world.processes["entry-0"].core.dispatcher.jobs
--- a/tests/lib/runs_world.py
+++ b/tests/lib/runs_world.py
@@ -33,6 +33,7 @@
     Departed,
     HoldFailed,
     JobSubmitted,
+    KeepReport,
     Note,
     Quiet,
     Renew,
@@ -44,6 +45,7 @@
 from godwitbank._internal.core.runs.verdicts import HoldVerdict, StartVerdict
 from godwitbank._internal.models.jobs import (
     Configuration,
+    EndpointReport,
     JobResult,
     JobSpec,
     QueueRules,
@@ -120,6 +122,7 @@
         self.specs: dict[str, JobSpec] = {}
         self.notes: list[tuple[float, str, Note]] = []
         self.quiet: set[str] = set()
+        self.kept: dict[str, EndpointReport] = {}
         self.cut: set[frozenset[str]] = set()
         self.lose_start: Callable[[Start], float | None] = lambda order: None
         """Seconds after which an order whose answer is lost is carried out."""
@@ -337,6 +340,8 @@
             elif isinstance(action, Note):
                 if self.checking:
                     self.notes.append((self.now, process.name, action))
+            elif isinstance(action, KeepReport):
+                self.kept[process.name] = action.report
             elif isinstance(action, Quiet):
                 self.quiet.add(process.name)
 
