Test the programs as the platform starts them, and the adapter

Cause: the adapter and the shells had no tests of their own. The fake endpoint of the core tests is shared with the stand-in.

--- /dev/null
+++ b/standins/platform_endpoint.py
@@ -0,0 +1,200 @@
+"""A stand-in for the platform's endpoint daemon, over HTTP.
+
+Usage: ``python -m standins.platform_endpoint SERVICE ADDRESS AGENT CORES``. A task's
+run time in seconds is its job's payload. ``PUT /control`` sets ``Behaviour``,
+``draining``, and how many answers to starts are lost.
+"""
+
+import asyncio
+import contextlib
+import sys
+import time
+from typing import Any
+
+import httpx
+import uvicorn
+from litestar import Litestar, Request, Response, get, post, put
+
+from godwitbank._internal.core.runs.events import HoldFailed, Renew, Start, Stop
+from godwitbank._internal.core.runs.verdicts import StartVerdict
+from godwitbank._internal.models.resources import Resources
+from standins.leased_endpoint import Behaviour, FakeEndpoint
+
+REPORT_SECONDS = 0.5
+POLL_SECONDS = 0.005
+
+_REASONS = {
+    StartVerdict.FENCED: "fence",
+    StartVerdict.SUPERSEDED: "old",
+    StartVerdict.LAPSED: "late",
+}
+
+
+class Daemon:
+    """One boot of the endpoint and the knobs of failure."""
+
+    def __init__(self, service: str, address: str, agent: str, cores: int) -> None:
+        self.address = address
+        self.agent = agent
+        instance = f"i-{int(time.time() * 1e6):x}"
+        capacity = Resources(cores * 1000, 65536, 0)
+        base = int(time.time() * 1000) % 10**9
+        self.fake = FakeEndpoint(instance, service, capacity, base)
+        self.lose_starts = 0
+        self.most_at_once = 0
+        self.began = time.monotonic()
+
+    @property
+    def now(self) -> float:
+        """Seconds since this boot."""
+        return time.monotonic() - self.began
+
+    def describe(self) -> dict[str, Any]:
+        """Make the body of a report."""
+        report = self.fake.report(self.now)
+        room = report.capacity
+        return {
+            "service": report.service,
+            "address": self.address,
+            "zone": "zone-1",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if report.draining else "ready",
+            "cold-left-ms": 0,
+            "capacity": {"cpu": room.cpu, "mem-mb": room.memory, "gpu": room.gpu},
+            "labels": list(report.labels),
+            "clock-ms": report.clock,
+            "seq": report.sequence,
+        }
+
+    async def report_forever(self) -> None:
+        """Report to the agent on the same VM."""
+        async with httpx.AsyncClient(trust_env=False) as client:
+            url = f"http://{self.agent}/-/instances/{self.fake.instance}"
+            while True:
+                with contextlib.suppress(httpx.HTTPError):
+                    await client.put(url, json=self.describe(), timeout=1.0)
+                await asyncio.sleep(REPORT_SECONDS)
+
+
+def make_app(daemon: Daemon) -> Litestar:
+    """Make the endpoint's application."""
+    fake = daemon.fake
+
+    def is_other(request: Request) -> bool:
+        expected = request.headers.get("expect-instance", "")
+        return expected not in ("", fake.instance)
+
+    @post("/-/run-start", status_code=200)
+    async def start(request: Request) -> Response[Any]:
+        if is_other(request):
+            return Response({}, status_code=421)
+        body = await request.json()
+        order = Start(
+            fake.instance,
+            body["task"],
+            body["run"],
+            body["spec"],
+            body["deadline-ms"],
+            body["fence-token"],
+            body.get("last-checkpoint", ""),
+        )
+        if daemon.lose_starts > 0:
+            daemon.lose_starts -= 1
+            await asyncio.sleep(3600)
+        answer = fake.start(order, daemon.now, float(order.payload))
+        daemon.most_at_once = max(daemon.most_at_once, len(fake.alive))
+        clock = {"clock-ms": answer.clock}
+        if answer.verdict == StartVerdict.STARTED:
+            return Response(clock, status_code=200)
+        if answer.verdict == StartVerdict.UNHEALTHY:
+            return Response({}, status_code=503)
+        reason = _REASONS[StartVerdict(answer.verdict)]
+        return Response({**clock, "reason": reason}, status_code=409)
+
+    @post("/-/run-stop", status_code=200)
+    async def stop(request: Request) -> Response[Any]:
+        if is_other(request):
+            return Response({}, status_code=421)
+        body = await request.json()
+        token = body["fence-token"]
+        fake.stop(Stop(fake.instance, body["task"], body["run"], token), daemon.now)
+        return Response({"clock-ms": fake.clock(daemon.now)})
+
+    @post("/-/hold", status_code=200)
+    async def hold(request: Request) -> Response[Any]:
+        if is_other(request):
+            return Response({}, status_code=421)
+        body = await request.json()
+        wait = body.get("wait-ms", 0)
+        order = Renew(
+            0,
+            fake.instance,
+            body.get("deadline-ms"),
+            body["fence-token"],
+            body["last-seen"],
+            wait,
+        )
+        answer = fake.hold(order, daemon.now)
+        until = daemon.now + wait / 1000
+        while not isinstance(answer, HoldFailed):
+            answer = fake.list_all(order, daemon.now)
+            if answer.ended or daemon.now >= until:
+                break
+            await asyncio.sleep(POLL_SECONDS)
+        if isinstance(answer, HoldFailed):
+            clock = answer.clock
+            return Response({"clock-ms": clock, "reason": "fence"}, status_code=409)
+        return Response(
+            {
+                "clock-ms": answer.clock,
+                "running": [list(row) for row in answer.running],
+                "ended": [
+                    [*row[:3], _name_end(row[3]), row[4]] for row in answer.ended
+                ],
+            }
+        )
+
+    @put("/control", status_code=200)
+    async def control(request: Request) -> dict[str, Any]:
+        body = await request.json()
+        fake.draining = body.pop("draining", fake.draining)
+        daemon.lose_starts = body.pop("lose_starts", daemon.lose_starts)
+        fake.behaviour = Behaviour(**body)
+        return {}
+
+    @get("/control")
+    async def show() -> dict[str, Any]:
+        fake.advance(daemon.now)
+        return {
+            "started": [[task, run] for _, task, run in fake.started],
+            "alive": list(fake.alive),
+            "most_at_once": daemon.most_at_once,
+        }
+
+    return Litestar(
+        route_handlers=[start, stop, hold, control, show],
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+def _name_end(end: str) -> str:
+    return "lapsed" if end == "lost" else str(end)
+
+
+async def main() -> None:
+    """Serve until killed."""
+    service, address, agent, cores = sys.argv[1:5]
+    daemon = Daemon(service, address, agent, int(cores))
+    host, _, port = address.rpartition(":")
+    config = uvicorn.Config(
+        make_app(daemon), host=host, port=int(port), log_level="warning"
+    )
+    reports = asyncio.create_task(daemon.report_forever())
+    await uvicorn.Server(config).serve()
+    reports.cancel()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,179 @@
+"""A stand-in for the platform's metadata store: rows, transactions, a feed.
+
+Usage: ``python -m standins.platform_store ADDRESS``. ``PUT /control`` takes it
+down (for callers from some addresses, or all), makes it silent, or makes it lose
+the answers of writes that took effect. ``PUT /operator`` writes what only the
+operators may write.
+"""
+
+import asyncio
+import base64
+import sys
+from typing import Any, NamedTuple
+
+import msgspec
+import uvicorn
+from litestar import Litestar, Request, Response, get, post, put
+
+OPERATORS_TABLES = {"op", "servers"}
+
+
+class RowKey(NamedTuple):
+    """Where a row stands."""
+
+    table: str
+    part: str
+    key: str
+
+
+class Row(NamedTuple):
+    """A row's value, or ``None`` once it was removed, and its revision."""
+
+    value: str | None
+    ver: int
+
+
+class Store:
+    """Rows, their revisions, and the knobs of failure."""
+
+    def __init__(self) -> None:
+        self.rows: dict[RowKey, Row] = {}
+        self.revision = 0
+        self.changed = asyncio.Event()
+        self.oldest = 0
+        self.turned_away: list[str] = []
+        self.silent = False
+        self.lose_answers = 0
+
+    def commit(self, body: dict[str, Any]) -> bool:
+        """Apply all entries of a transaction, or none."""
+        for wanted in body.get("expect-rev", []):
+            row = self.rows.get(_key(wanted))
+            current = row.ver if row and row.value is not None else 0
+            if current != wanted["ver"]:
+                return False
+        self.revision += 1
+        for each in body.get("puts", []):
+            self.rows[_key(each)] = Row(each["value"], self.revision)
+        for each in body.get("remove", []):
+            self.rows[_key(each)] = Row(None, self.revision)
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return True
+
+    def answer(self, rows: list[dict[str, Any]]) -> dict[str, Any]:
+        """Make the body of an answer about rows."""
+        return {
+            "rows": rows,
+            "has-more": False,
+            "ver": self.revision,
+            "server-time-ms": 0,
+        }
+
+    def list_rows(self, table: str, after: int | None) -> list[dict[str, Any]]:
+        """List a table's rows, or what has changed in it after a revision."""
+        rows = []
+        for key, row in self.rows.items():
+            if key.table != table or (after is not None and row.ver <= after):
+                continue
+            if row.value is None and after is None:
+                continue
+            entry: dict[str, Any] = {**key._asdict(), "ver": row.ver}
+            if row.value is None:
+                entry["removed"] = True
+            else:
+                entry["value"] = row.value
+            rows.append(entry)
+        return sorted(rows, key=lambda row: row["key"])
+
+
+def _key(entry: dict[str, Any]) -> RowKey:
+    return RowKey(entry["table"], entry.get("part", ""), entry["key"])
+
+
+def make_app(store: Store) -> Litestar:
+    """Make the store's application."""
+
+    async def refuse(request: Request) -> Response[Any] | None:
+        caller = request.client.host if request.client else ""
+        if caller in store.turned_away or "all" in store.turned_away:
+            if store.silent:
+                await asyncio.sleep(3600)
+            return Response({"error": "unavailable"}, status_code=503)
+        return None
+
+    @post("/-/rows-tx", status_code=200)
+    async def transact(request: Request) -> Response[Any]:
+        refused = await refuse(request)
+        if refused is not None:
+            return refused
+        body = msgspec.json.decode(await request.body())
+        touched = [*body.get("puts", []), *body.get("remove", [])]
+        if any(each["table"] in OPERATORS_TABLES for each in touched):
+            return Response({"error": "not yours"}, status_code=403)
+        done = store.commit(body)
+        if store.lose_answers > 0:
+            store.lose_answers -= 1
+            await asyncio.sleep(3600)
+        return Response(store.answer([]), status_code=200 if done else 412)
+
+    @get("/-/rows-get")
+    async def read(request: Request) -> Response[Any]:
+        refused = await refuse(request)
+        if refused is not None:
+            return refused
+        table = request.query_params["table"]
+        first = request.query_params.get("from", "")
+        rows = [row for row in store.list_rows(table, None) if row["key"] >= first]
+        return Response(store.answer(rows))
+
+    @get("/-/rows-feed")
+    async def follow(request: Request) -> Response[Any]:
+        refused = await refuse(request)
+        if refused is not None:
+            return refused
+        table = request.query_params["table"]
+        after = int(request.query_params["after"])
+        if after < store.oldest:
+            return Response({"error": "history is gone"}, status_code=410)
+        try:
+            async with asyncio.timeout(int(request.query_params["wait-ms"]) / 1000):
+                while not store.list_rows(table, after):
+                    await store.changed.wait()
+        except TimeoutError:
+            return Response(store.answer([]))
+        return Response(store.answer(store.list_rows(table, after)))
+
+    @put("/operator", status_code=200)
+    async def operate(request: Request) -> dict[str, int]:
+        value = base64.b64encode(await request.body()).decode()
+        row = {"table": "op", "key": request.query_params["key"], "value": value}
+        store.commit({"puts": [row]})
+        return {"ver": store.revision}
+
+    @put("/control", status_code=200)
+    async def control(request: Request) -> dict[str, Any]:
+        for name, value in msgspec.json.decode(await request.body()).items():
+            setattr(store, name, value)
+        if "oldest" in await request.json():
+            store.oldest = store.revision
+        return {}
+
+    return Litestar(
+        route_handlers=[transact, read, follow, operate, control],
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+async def main() -> None:
+    """Serve until killed."""
+    host, _, port = sys.argv[1].rpartition(":")
+    config = uvicorn.Config(
+        make_app(Store()), host=host, port=int(port), log_level="warning"
+    )
+    await uvicorn.Server(config).serve()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/tests/core/runs/test_exploration.py
+++ b/tests/core/runs/test_exploration.py
@@ -8,8 +8,8 @@
 from random import Random
 
 import pytest
+from standins.leased_endpoint import Behaviour
 
-from tests.lib.fake_endpoint import Behaviour
 from tests.lib.runs_world import RunsWorld, make_job
 
 FOUND = (
--- a/tests/core/test_imports.py
+++ b/tests/core/test_imports.py
@@ -23,7 +23,7 @@
     "datetime",
     "pathlib",
 }
-MODULES = sorted(Path(core.__path__[0]).glob("*.py"))
+MODULES = sorted(Path(core.__path__[0]).rglob("*.py"))
 
 
 def _list_imports(path: Path) -> set[str]:
--- a/tests/lib/runs_world.py
+++ b/tests/lib/runs_world.py
@@ -12,6 +12,8 @@
 from random import Random
 from typing import Any
 
+from standins.leased_endpoint import FakeEndpoint
+
 from godwitbank._internal.core.events import (
     CloseStream,
     Dial,
@@ -53,7 +55,6 @@
 )
 from godwitbank._internal.models.messages import Role
 from godwitbank._internal.models.resources import Resources
-from tests.lib.fake_endpoint import FakeEndpoint
 
 LINK_DELAY = 0.001
 CALL_DELAY = 0.002
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter, and of the programs as the platform starts them."""
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,51 @@
+"""The platform's settings file."""
+
+import pytest
+
+from godwitbank._internal.exceptions import SettingsError
+from godwitbank._internal.platform.settings import PlatformSettings
+
+LINES = {
+    "node": "front-a-1",
+    "zone": "a",
+    "ip": "10.1.0.13",
+    "port-range": "7720,7735",
+    "seeds": "10.1.0.13:8166,10.2.0.30:8166",
+    "platform.address": "10.200.1.7:8169",
+    "listen.front": "10.1.0.13:8161",
+    "something.new": "7",
+}
+
+
+def make_text(**changes: str | None) -> str:
+    values = {**LINES, **{key.replace("_", "-"): each for key, each in changes.items()}}
+    return "\n".join(f"{key}={value}" for key, value in values.items() if value)
+
+
+def test_streams_listen_on_the_first_port_and_seeds_name_the_same() -> None:
+    settings = PlatformSettings.from_text(make_text())
+    assert settings.stream == "10.1.0.13:7720"
+    assert settings.seeds == ("10.1.0.13:7720", "10.2.0.30:7720")
+
+
+def test_no_seeds_are_no_error() -> None:
+    assert PlatformSettings.from_text(make_text(seeds=None)).seeds == ()
+
+
+@pytest.mark.parametrize("key", ["node", "zone", "ip", "port_range"])
+def test_a_missing_setting_is_named_with_its_remedy(key: str) -> None:
+    with pytest.raises(SettingsError) as caught:
+        PlatformSettings.from_text(make_text(**{key: None}))
+    assert key.replace("_", "-") in str(caught.value)
+    assert "remedy" in str(caught.value)
+
+
+def test_a_port_that_is_no_number_is_named() -> None:
+    with pytest.raises(SettingsError, match="port-range"):
+        PlatformSettings.from_text(make_text(port_range="x,y"))
+
+
+def test_an_unreadable_file_names_the_variable(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.delenv("GODWITBANK_SETTINGS", raising=False)
+    with pytest.raises(SettingsError, match="GODWITBANK_SETTINGS"):
+        PlatformSettings.from_environment()
