Split the handover of jobs between entries off the entry's core

Change: handover.py holds who may start a job that another entry had; behaviour kept, but that a job which comes twice while an entry still learns what others have is one job.

--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -28,12 +28,8 @@
     RunAction,
 )
 from godwitbank._internal.core.runs.fleet import AgentView
+from godwitbank._internal.core.runs.handover import Handover
 from godwitbank._internal.core.runs.links import PULSE, Link, Links
-from godwitbank._internal.core.runs.ownership import (
-    LAPSE_SECONDS,
-    YIELD_SECONDS,
-    Takings,
-)
 from godwitbank._internal.core.runs.routes import RouteTable
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.jobs import (
@@ -51,7 +47,6 @@
     Role,
 )
 from godwitbank._internal.models.run_messages import (
-    Claim,
     Claimed,
     EndpointNews,
     Holding,
@@ -69,10 +64,6 @@
 """Seconds between looks at deadlines while jobs are in flight."""
 
 
-GRACE = 0.9
-"""Seconds after its start in which an entry waits for those it knows; above the
-``SILENCE`` after which agents stop an entry's runs, and the time that takes."""
-
 UNREADY_SECONDS = 2.5
 """Seconds after SIGTERM in which callers may still arrive: the balancer looks
 once a second and takes two misses."""
@@ -82,24 +73,6 @@
 killed at 6 s, and the answers must be out before."""
 
 
-class Delayed:
-    """A job whose start waits until others' runs of it are gone.
-
-    :param abandoned: it won't be started here; a third entry waits in turn.
-    :param claiming: agents were asked to stop others' runs of it.
-    :param claimed_at: streams of the agents that have not answered yet.
-    """
-
-    __slots__ = ("job", "start_at", "abandoned", "claiming", "claimed_at")
-
-    def __init__(self, job: Job, start_at: float) -> None:
-        self.job = job
-        self.start_at = start_at
-        self.abandoned = False
-        self.claiming = False
-        self.claimed_at: set[int] = set()
-
-
 class RunEntryCore:
     """Decides for one entry; driven by events, answers with actions."""
 
@@ -111,12 +84,7 @@
         self.dispatcher = Dispatcher(identity.zone, rng, self.counts, now)
         self.stopping = False
         self._stopped_at = 0.0
-        self._booted_at = now
-        self._informed = False
-        self._takings = Takings(now)
-        self._delayed: dict[str, Delayed] = {}
-        self._unsorted: list[Job] = []
-        self._yielding: dict[str, list[int]] = {}
+        self.handover = Handover(self.dispatcher, self.links, self.counts, now)
         self._tick_at = now
         self._quiet = False
         self._out: list[RunAction] = []
@@ -139,16 +107,16 @@
             Room: self._hear_room,
             EndpointNews: self._hear_news,
             Holding: self._hear_holding,
-            Claimed: self._hear_claimed,
+            Claimed: self.handover.hear_claimed,
             Pulse: self._ignore,
         }
         self._peer_receivers: dict[type, Callable] = {
             Pulse: self._hear_pulse,
             Rules: self._hear_rules,
             Peers: self._hear_peers,
-            Took: self._hear_took,
-            Yield: self._hear_yield,
-            Yielded: self._hear_yielded,
+            Took: self.handover.hear_took,
+            Yield: self.handover.hear_yield,
+            Yielded: self.handover.hear_yielded,
             Goodbye: self._hear_goodbye,
         }
 
@@ -157,9 +125,9 @@
         self._now = now
         self._out = []
         self.dispatcher.begin(now, self._out.append)
+        self.handover.begin(now, self._out.append)
         self._handlers[type(event)](event)
-        self._sort_in_all()
-        self._answer_yields()
+        self.handover.check()
         self._check_quiet()
         return self._out
 
@@ -168,27 +136,12 @@
         """Time at which a ``Tick`` is next needed."""
         return min(self.links.next_wakeup(), self._tick_at)
 
-    @property
-    def informed(self) -> bool:
-        """Whether it is known what other entries have taken.
-
-        Those that can't be reached for ``GRACE`` are gone for their agents, too,
-        which have stopped their runs by then.
-        """
-        if not self._informed:
-            linked = {link.hello.address for link in self._list_peers()}
-            known = set(self.links.list_known()) - {self.identity.address}
-            linked_all = bool(known) and known <= linked
-            self._informed = linked_all or self._now - self._booted_at > GRACE
-            if self._informed and known - linked:
-                # They may be alive and cut off from here alone.
-                self._takings.lose("unreached", self._now)
-        return self._informed
-
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return bool(self.routes.version) and self.informed and not self.stopping
+        return (
+            bool(self.routes.version) and self.handover.informed and not self.stopping
+        )
 
     def find_queue(self, host: str, path: str) -> QueueRules | None:
         """Find the queue of a request."""
@@ -211,7 +164,7 @@
                 {"agent": view.address, "open": view.open, "free": list(view.free)}
                 for view in self.dispatcher.fleet.views.values()
             ],
-            "peers": [link.hello.process for link in self._list_peers()],
+            "peers": [link.hello.process for link in self.links.list_peers()],
         }
 
     def _note(self, event: str, request: str = "", **fields: object) -> None:
@@ -236,76 +189,11 @@
             known.callers.append(event.caller)
             known.deadline = self._now + event.patience
             return
-        if known is not None or spec.job in self._delayed:
+        if known is not None or self.handover.has(spec.job):
             self._refuse_early(event, "stopping_before")
             return
         job = Job(spec, queue, event.caller, self._now, event.patience)
-        if not self.informed:
-            # What other entries have taken isn't known yet; it might run twice.
-            self._unsorted.append(job)
-            return
-        self._sort_in(job)
-
-    def _sort_in(self, job: Job) -> None:
-        spec = job.spec
-        owner = self._takings.find(spec.job)
-        if owner:
-            self._ask_owner(job, owner)
-            return
-        if self._takings.is_blind(self._now):
-            self._claim(job)
-            return
-        self._take(job)
-
-    def _sort_in_all(self) -> None:
-        if not self._unsorted or not self.informed:
-            return
-        waiting, self._unsorted = self._unsorted, []
-        for job in waiting:
-            if job.callers:
-                self._sort_in(job)
-
-    def _claim(self, job: Job) -> None:
-        """Ask the agents to stop what others run of a job.
-
-        An entry that can't be reached may have taken it. A failure shows as a
-        task that runs twice after its caller went from one entry to the other.
-        """
-        name = job.spec.job
-        views = self.dispatcher.fleet.views
-        if not views:
-            self._take(job)
-            return
-        delayed = Delayed(job, self._now + LAPSE_SECONDS)
-        delayed.claiming = True
-        delayed.claimed_at = set(views)
-        self._delayed[name] = delayed
-        self.counts.add("jobs_delayed", "claimed")
-        self._tell_taken(name)
-        for stream in views:
-            self._send(stream, Claim(name))
-
-    def _hear_claimed(self, view: AgentView, message: Claimed) -> None:
-        delayed = self._delayed.get(message.job)
-        if delayed is None:
-            return
-        if view.stream not in delayed.claimed_at:
-            return
-        delayed.claimed_at.discard(view.stream)
-        if delayed.claimed_at:
-            return
-        delayed.start_at = self.dispatcher.fleet.lapsed_at
-        if delayed.start_at <= self._now:
-            self._start_now(delayed)
-
-    def _take(self, job: Job) -> None:
-        self.dispatcher.submit(job)
-        if job.spec.job in self.dispatcher.jobs:
-            self._tell_taken(job.spec.job)
-
-    def _tell_taken(self, name: str) -> None:
-        for link in self._list_peers():
-            self._send(link.stream, Took([name], [0.0]))
+        self.handover.submit(job)
 
     def _refuse_early(self, event: JobSubmitted, reason: str) -> None:
         self.counts.add("jobs_refused", reason)
@@ -314,87 +202,8 @@
         result = JobResult(job, JobEnd.REFUSED, reason, False, COME_BACK)
         self._out.append(Answer(event.caller, result))
 
-    def _ask_owner(self, job: Job, owner: str) -> None:
-        name = job.spec.job
-        link = self.links.find(owner)
-        start_at = self._now + YIELD_SECONDS
-        if link is None:
-            start_at = self._takings.find_lapse(owner, self._now)
-        else:
-            self._send(link.stream, Yield(name))
-        self.counts.add("jobs_delayed", "owner_gone" if link is None else "asked")
-        self._note("job_delayed", name, s=round(start_at - self._now, 3))
-        self._delayed[name] = Delayed(job, start_at)
-        self._tell_taken(name)
-
-    def _hear_yielded(self, link: Link, message: Yielded) -> None:
-        del link
-        self._takings.forget(message.job)
-        delayed = self._delayed.get(message.job)
-        if delayed is not None and not delayed.claiming:
-            self._claim_next(delayed)
-
-    def _claim_next(self, delayed: Delayed) -> None:
-        # The owner before may have claimed the job at agents; they take no runs
-        # of it from this entry unless it claims it, too.
-        del self._delayed[delayed.job.spec.job]
-        if not delayed.abandoned:
-            self._claim(delayed.job)
-
-    def _start_now(self, delayed: Delayed) -> None:
-        del self._delayed[delayed.job.spec.job]
-        if not delayed.abandoned:
-            self._take(delayed.job)
-
-    def _start_delayed(self) -> None:
-        for name, delayed in list(self._delayed.items()):
-            if delayed.start_at > self._now:
-                continue
-            if delayed.claiming:
-                # Whoever hasn't answered by now has let its leases lapse.
-                self._start_now(delayed)
-                continue
-            owner = self._takings.find(name)
-            link = self.links.find(owner)
-            if link is not None:
-                # It answers, but has not said that all is stopped.
-                delayed.start_at = self._now + YIELD_SECONDS
-                self._send(link.stream, Yield(name))
-                continue
-            lapse = self._takings.find_lapse(owner, self._now)
-            if owner and lapse > self._now:
-                delayed.start_at = lapse
-                continue
-            self._takings.forget(name)
-            self._claim_next(delayed)
-
-    def _hear_yield(self, link: Link, message: Yield) -> None:
-        job = self.dispatcher.jobs.get(message.job)
-        self._yielding.setdefault(message.job, []).append(link.stream)
-        self._abandon(message.job)
-        if job is not None:
-            self.dispatcher.give_up(job, "submitted_elsewhere")
-
-    def _abandon(self, name: str) -> None:
-        delayed = self._delayed.get(name)
-        if delayed is not None and not delayed.abandoned:
-            self.dispatcher.refuse(delayed.job, "submitted_elsewhere")
-            delayed.abandoned = True
-
-    def _answer_yields(self) -> None:
-        for name, streams in list(self._yielding.items()):
-            if name in self.dispatcher.jobs or name in self._delayed:
-                continue
-            del self._yielding[name]
-            for stream in streams:
-                self._send(stream, Yielded(name))
-
     def _lose_caller(self, event: CallerGone) -> None:
-        for job in self._unsorted:
-            job.callers = [each for each in job.callers if each != event.caller]
-        for delayed in list(self._delayed.values()):
-            if event.caller in delayed.job.callers:
-                del self._delayed[delayed.job.spec.job]
+        self.handover.lose_caller(event.caller)
         for job in list(self.dispatcher.jobs.values()):
             if event.caller not in job.callers:
                 continue
@@ -424,14 +233,6 @@
     def _dial(self) -> None:
         self._out += [Dial(address) for address in self.links.list_due(self._now)]
 
-    def _list_peers(self) -> list[Link]:
-        peers = {
-            link.hello.incarnation: link
-            for link in self.links
-            if link.hello.role == Role.ENTRY
-        }
-        return list(peers.values())
-
     def _open(self, event: StreamOpened) -> None:
         hello = event.greeting
         if not isinstance(hello, Hello) or hello.version != PROTOCOL_VERSION:
@@ -448,23 +249,15 @@
         if hello.role == Role.AGENT:
             self._open_agent(link)
             return
-        self._takings.regain(hello.incarnation)
         before = self.links.list_known()
         self.links.learn([hello.address], self._now)
         self._dial()
         if self.links.list_known() != before:
             self._tell_entries()
         self._send(event.stream, Peers(self.links.list_known(), []))
-        # A peer that was started later must know what was taken before.
-        self._tell_all_taken(event.stream)
+        self.handover.regain_peer(link)
         self._send_rules(event.stream)
 
-    def _tell_all_taken(self, stream: int) -> None:
-        taken = [*self.dispatcher.jobs.values()]
-        taken += [delayed.job for delayed in self._delayed.values()]
-        ages = [self._now - job.arrival for job in taken]
-        self._send(stream, Took([job.spec.job for job in taken], ages))
-
     def _open_agent(self, link: Link) -> None:
         hello = link.hello
         fleet = self.dispatcher.fleet
@@ -485,8 +278,7 @@
         if view is not None:
             self.dispatcher.lose_view(view)
         elif self.links.find(link.hello.incarnation) is None:
-            if not link.leaving:
-                self._takings.lose(link.hello.incarnation, self._now)
+            self.handover.lose_peer(link)
             self.dispatcher.admission.forget(link.hello.incarnation)
 
     def _drop_link(self, stream: int, reason: str) -> None:
@@ -541,15 +333,6 @@
         del message
         link.leaving = True
 
-    def _hear_took(self, link: Link, message: Took) -> None:
-        for name, age in zip(message.jobs, message.ages, strict=False):
-            self._takings.note(name, age, link.hello.incarnation, self._now)
-            job = self.dispatcher.jobs.get(name)
-            if job is not None and self._now - job.arrival > age:
-                # While this entry was cut off or suspended, the caller went to
-                # another one, which took the job for lost here.
-                self.dispatcher.give_up(job, "submitted_elsewhere")
-
     # Configuration
 
     def _read_configuration(self, event: ConfigurationRead) -> None:
@@ -565,7 +348,7 @@
             return
         self.counts.add("configurations_installed")
         self._note("configuration", version=configuration.version, source=source)
-        for link in self._list_peers():
+        for link in self.links.list_peers():
             self._send_rules(link.stream)
 
     def _send_rules(self, stream: int) -> None:
@@ -588,7 +371,7 @@
                 self._send(link.stream, Pulse(backlog))
         if self._now >= self._tick_at:
             self._tick_at = self._now + TICK
-            self._start_delayed()
+            self.handover.start_delayed()
             self.dispatcher.check_times()
 
     def _stop(self, event: StopRequested) -> None:
@@ -600,12 +383,7 @@
 
     def _end_jobs(self) -> None:
         # Whoever isn't answered now would see its connection cut.
-        for job in self._unsorted:
-            self.dispatcher.refuse(job, "stopping")
-        self._unsorted.clear()
-        for delayed in self._delayed.values():
-            self.dispatcher.refuse(delayed.job, "stopping")
-        self._delayed.clear()
+        self.handover.refuse_all("stopping")
         for job in list(self.dispatcher.jobs.values()):
             self.dispatcher.give_up(job, "stopping")
 
@@ -616,10 +394,10 @@
             self._end_jobs()
             self._quiet = True
         elif self._now >= self._stopped_at + UNREADY_SECONDS:
-            busy = self.dispatcher.jobs or self._delayed or self._unsorted
+            busy = self.dispatcher.jobs or self.handover.busy
             self._quiet = not busy
         if self._quiet:
-            for link in self._list_peers():
+            for link in self.links.list_peers():
                 # Nothing of this entry's jobs is left; its end is no reason to
                 # look for any.
                 self._send(link.stream, Goodbye("stopping"))
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -0,0 +1,306 @@
+"""Jobs that go from one entry to another, and never run twice by it.
+
+A caller whose connection broke submits the same job again, to any entry. Entries
+tell each other what they take; the one that gets a job another has asks it to
+stop first, and where entries can't reach each other the agents decide.
+"""
+
+from collections.abc import Callable
+
+from godwitbank._internal.core.counters import Counts
+from godwitbank._internal.core.events import Send
+from godwitbank._internal.core.runs.dispatcher import Dispatcher
+from godwitbank._internal.core.runs.events import Note, RunAction
+from godwitbank._internal.core.runs.fleet import AgentView
+from godwitbank._internal.core.runs.links import Link, Links
+from godwitbank._internal.core.runs.ownership import (
+    LAPSE_SECONDS,
+    YIELD_SECONDS,
+    Takings,
+)
+from godwitbank._internal.core.runs.work import Job
+from godwitbank._internal.models.messages import Message
+from godwitbank._internal.models.run_messages import (
+    Claim,
+    Claimed,
+    Took,
+    Yield,
+    Yielded,
+)
+
+GRACE = 0.9
+"""Seconds after its start in which an entry waits for those it knows; above the
+``SILENCE`` after which agents stop an entry's runs, and the time that takes."""
+
+
+class Delayed:
+    """A job whose start waits until others' runs of it are gone.
+
+    :param abandoned: it won't be started here; a third entry waits in turn.
+    :param claiming: agents were asked to stop others' runs of it.
+    :param claimed_at: streams of the agents that have not answered yet.
+    """
+
+    __slots__ = ("job", "start_at", "abandoned", "claiming", "claimed_at")
+
+    def __init__(self, job: Job, start_at: float) -> None:
+        self.job = job
+        self.start_at = start_at
+        self.abandoned = False
+        self.claiming = False
+        self.claimed_at: set[int] = set()
+
+
+class Handover:
+    """Decides when a job that was handed over may start at this entry."""
+
+    def __init__(
+        self, dispatcher: Dispatcher, links: Links, counts: Counts, now: float
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._links = links
+        self._counts = counts
+        self._booted_at = now
+        self._informed = False
+        self._takings = Takings(now)
+        self._delayed: dict[str, Delayed] = {}
+        self._unsorted: dict[str, Job] = {}
+        self._yielding: dict[str, list[int]] = {}
+        self._now = now
+        self._out: Callable[[RunAction], None] = lambda action: None
+
+    def begin(self, now: float, out: Callable[[RunAction], None]) -> None:
+        """Prepare for one event."""
+        self._now = now
+        self._out = out
+
+    def _note(self, event: str, request: str, **fields: object) -> None:
+        self._out(Note(event, request, fields))
+
+    def _send(self, stream: int, message: Message) -> None:
+        self._out(Send(stream, message))
+
+    @property
+    def busy(self) -> bool:
+        """Whether a job waits here."""
+        return bool(self._delayed or self._unsorted)
+
+    def has(self, job: str) -> bool:
+        """Tell whether a job waits here."""
+        return job in self._delayed or job in self._unsorted
+
+    @property
+    def informed(self) -> bool:
+        """Whether it is known what other entries have taken.
+
+        Those that can't be reached for ``GRACE`` are gone for their agents, too,
+        which have stopped their runs by then.
+        """
+        if not self._informed:
+            linked = {link.hello.address for link in self._links.list_peers()}
+            known = set(self._links.list_others())
+            linked_all = bool(known) and known <= linked
+            self._informed = linked_all or self._now - self._booted_at > GRACE
+            if self._informed and known - linked:
+                # They may be alive and cut off from here alone.
+                self._takings.lose("unreached", self._now)
+        return self._informed
+
+    def submit(self, job: Job) -> None:
+        """Start a job, or let it wait until nothing of it runs elsewhere."""
+        if self.informed:
+            self._sort_in(job)
+        else:
+            # What other entries have taken isn't known yet; it might run twice.
+            self._unsorted[job.spec.job] = job
+
+    def lose_caller(self, caller: int) -> None:
+        """Forget the jobs that only a caller who is gone waits for."""
+        for waiting in (self._unsorted, self._delayed):
+            for name in [each for each in waiting if self._is_of(each, caller)]:
+                del waiting[name]
+
+    def _is_of(self, name: str, caller: int) -> bool:
+        delayed = self._delayed.get(name)
+        job = delayed.job if delayed else self._unsorted.get(name)
+        return job is not None and caller in job.callers
+
+    def refuse_all(self, reason: str) -> None:
+        """Refuse every job that waits here."""
+        jobs = [*self._unsorted.values()]
+        jobs += [each.job for each in self._delayed.values() if not each.abandoned]
+        for job in jobs:
+            self._dispatcher.refuse(job, reason)
+        self._unsorted.clear()
+        self._delayed.clear()
+
+    def lose_peer(self, link: Link) -> None:
+        """Note that a peer's last stream ended."""
+        if not link.leaving:
+            self._takings.lose(link.hello.incarnation, self._now)
+
+    def regain_peer(self, link: Link) -> None:
+        """Note a peer's new stream, and tell it what was taken here."""
+        self._takings.regain(link.hello.incarnation)
+        # A peer that was started later must know what was taken before.
+        self._tell_all_taken(link.stream)
+
+    def check(self) -> None:
+        """Act on what has become due."""
+        self._sort_in_all()
+        self._answer_yields()
+
+    def _sort_in(self, job: Job) -> None:
+        spec = job.spec
+        owner = self._takings.find(spec.job)
+        if owner:
+            self._ask_owner(job, owner)
+            return
+        if self._takings.is_blind(self._now):
+            self._claim(job)
+            return
+        self._take(job)
+
+    def _sort_in_all(self) -> None:
+        if not self._unsorted or not self.informed:
+            return
+        waiting, self._unsorted = self._unsorted, {}
+        for job in waiting.values():
+            self._sort_in(job)
+
+    def _claim(self, job: Job) -> None:
+        """Ask the agents to stop what others run of a job.
+
+        An entry that can't be reached may have taken it. A failure shows as a
+        task that runs twice after its caller went from one entry to the other.
+        """
+        name = job.spec.job
+        views = self._dispatcher.fleet.views
+        if not views:
+            self._take(job)
+            return
+        delayed = Delayed(job, self._now + LAPSE_SECONDS)
+        delayed.claiming = True
+        delayed.claimed_at = set(views)
+        self._delayed[name] = delayed
+        self._counts.add("jobs_delayed", "claimed")
+        self._tell_taken(name)
+        for stream in views:
+            self._send(stream, Claim(name))
+
+    def hear_claimed(self, view: AgentView, message: Claimed) -> None:
+        """Count off an agent that runs nothing of a job by others' orders."""
+        delayed = self._delayed.get(message.job)
+        if delayed is None:
+            return
+        if view.stream not in delayed.claimed_at:
+            return
+        delayed.claimed_at.discard(view.stream)
+        if delayed.claimed_at:
+            return
+        delayed.start_at = self._dispatcher.fleet.lapsed_at
+        if delayed.start_at <= self._now:
+            self._start_now(delayed)
+
+    def _take(self, job: Job) -> None:
+        self._dispatcher.submit(job)
+        if job.spec.job in self._dispatcher.jobs:
+            self._tell_taken(job.spec.job)
+
+    def _tell_taken(self, name: str) -> None:
+        for link in self._links.list_peers():
+            self._send(link.stream, Took([name], [0.0]))
+
+    def _ask_owner(self, job: Job, owner: str) -> None:
+        name = job.spec.job
+        link = self._links.find(owner)
+        start_at = self._now + YIELD_SECONDS
+        if link is None:
+            start_at = self._takings.find_lapse(owner, self._now)
+        else:
+            self._send(link.stream, Yield(name))
+        self._counts.add("jobs_delayed", "owner_gone" if link is None else "asked")
+        self._note("job_delayed", name, s=round(start_at - self._now, 3))
+        self._delayed[name] = Delayed(job, start_at)
+        self._tell_taken(name)
+
+    def hear_yielded(self, link: Link, message: Yielded) -> None:
+        """Another entry has stopped a job."""
+        del link
+        self._takings.forget(message.job)
+        delayed = self._delayed.get(message.job)
+        if delayed is not None and not delayed.claiming:
+            self._claim_next(delayed)
+
+    def _claim_next(self, delayed: Delayed) -> None:
+        # The owner before may have claimed the job at agents; they take no runs
+        # of it from this entry unless it claims it, too.
+        del self._delayed[delayed.job.spec.job]
+        if not delayed.abandoned:
+            self._claim(delayed.job)
+
+    def _start_now(self, delayed: Delayed) -> None:
+        del self._delayed[delayed.job.spec.job]
+        if not delayed.abandoned:
+            self._take(delayed.job)
+
+    def start_delayed(self) -> None:
+        """Start the jobs that have waited long enough."""
+        for name, delayed in list(self._delayed.items()):
+            if delayed.start_at > self._now:
+                continue
+            if delayed.claiming:
+                # Whoever hasn't answered by now has let its leases lapse.
+                self._start_now(delayed)
+                continue
+            owner = self._takings.find(name)
+            link = self._links.find(owner)
+            if link is not None:
+                # It answers, but has not said that all is stopped.
+                delayed.start_at = self._now + YIELD_SECONDS
+                self._send(link.stream, Yield(name))
+                continue
+            lapse = self._takings.find_lapse(owner, self._now)
+            if owner and lapse > self._now:
+                delayed.start_at = lapse
+                continue
+            self._takings.forget(name)
+            self._claim_next(delayed)
+
+    def hear_yield(self, link: Link, message: Yield) -> None:
+        """Stop a job whose caller came to another entry."""
+        job = self._dispatcher.jobs.get(message.job)
+        self._yielding.setdefault(message.job, []).append(link.stream)
+        self._abandon(message.job)
+        if job is not None:
+            self._dispatcher.give_up(job, "submitted_elsewhere")
+
+    def _abandon(self, name: str) -> None:
+        delayed = self._delayed.get(name)
+        if delayed is not None and not delayed.abandoned:
+            self._dispatcher.refuse(delayed.job, "submitted_elsewhere")
+            delayed.abandoned = True
+
+    def _answer_yields(self) -> None:
+        for name, streams in list(self._yielding.items()):
+            if name in self._dispatcher.jobs or name in self._delayed:
+                continue
+            del self._yielding[name]
+            for stream in streams:
+                self._send(stream, Yielded(name))
+
+    def _tell_all_taken(self, stream: int) -> None:
+        taken = [*self._dispatcher.jobs.values()]
+        taken += [delayed.job for delayed in self._delayed.values()]
+        ages = [self._now - job.arrival for job in taken]
+        self._send(stream, Took([job.spec.job for job in taken], ages))
+
+    def hear_took(self, link: Link, message: Took) -> None:
+        """Note what another entry has taken."""
+        for name, age in zip(message.jobs, message.ages, strict=False):
+            self._takings.note(name, age, link.hello.incarnation, self._now)
+            job = self._dispatcher.jobs.get(name)
+            if job is not None and self._now - job.arrival > age:
+                # While this entry was cut off or suspended, the caller went to
+                # another one, which took the job for lost here.
+                self._dispatcher.give_up(job, "submitted_elsewhere")
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from godwitbank._internal.models.messages import Hello
+from godwitbank._internal.models.messages import Hello, Role
 
 PULSE = 0.2
 """Seconds between proofs of life on a stream; three fit into ``SILENCE``."""
@@ -66,6 +66,19 @@
         """List the addresses of all entries known, own one included."""
         return sorted({*self._targets, self._own_address})
 
+    def list_others(self) -> list[str]:
+        """List the addresses of all entries known but this process."""
+        return sorted(self._targets)
+
+    def list_peers(self) -> list[Link]:
+        """List one stream to each entry."""
+        peers = {
+            link.hello.incarnation: link
+            for link in self
+            if link.hello.role == Role.ENTRY
+        }
+        return list(peers.values())
+
     def list_due(self, now: float) -> list[str]:
         """List the addresses to dial now, and note that they are dialled."""
         due = [
