--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -104,7 +104,7 @@
                 return "too_large"
         capacity = self.fleet.measure_capacity(service)
         young = self._now - self._booted_at < ARRIVAL_SECONDS
-        if self.fleet.is_coming(self._now) or (young and not capacity):
+        if not capacity and (young or self.fleet.is_coming(self._now)):
             # Agents will be here and know their endpoints within a second or so;
             # most jobs can wait that long, and what can't is given up.
             return None
@@ -328,7 +328,6 @@
     def lose_view(self, view: AgentView) -> None:
         """Leave the runs of an agent without a stream in limbo."""
         self.fleet.views.pop(view.stream, None)
-        self.fleet.lapsed_at = self._now + LAPSE_SECONDS
         for task in list(view.tasks.values()):
             view.remove(task)
             task.state = TaskState.LIMBO
--- a/src/godwitbank/_internal/core/runs/fleet.py
+++ b/src/godwitbank/_internal/core/runs/fleet.py
@@ -103,8 +103,6 @@
     def __init__(self) -> None:
         self.views: dict[int, AgentView] = {}
         self._health: dict[str, Health] = {}
-        self.lapsed_at = 0.0
-        """Time at which what ran at agents that were lost is gone."""
 
     def add(
         self, stream: int, address: str, incarnation: str, zone: str, now: float
--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -14,7 +14,7 @@
 from godwitbank._internal.core.runs.fleet import AgentView
 from godwitbank._internal.core.runs.links import Link, Links
 from godwitbank._internal.core.runs.ownership import (
-    LAPSE_SECONDS,
+    CLAIM_SECONDS,
     YIELD_SECONDS,
     Takings,
 )
@@ -62,7 +62,7 @@
         self._counts = counts
         self._booted_at = now
         self._informed = False
-        self._takings = Takings(now)
+        self._takings = Takings()
         self._delayed: dict[str, Delayed] = {}
         self._unsorted: dict[str, Job] = {}
         self._yielding: dict[str, list[int]] = {}
@@ -179,7 +179,7 @@
         if not views:
             self._take(job)
             return
-        delayed = Delayed(job, self._now + LAPSE_SECONDS)
+        delayed = Delayed(job, self._now + CLAIM_SECONDS)
         delayed.claiming = True
         delayed.claimed_at = set(views)
         self._delayed[name] = delayed
@@ -196,10 +196,7 @@
         if view.stream not in delayed.claimed_at:
             return
         delayed.claimed_at.discard(view.stream)
-        if delayed.claimed_at:
-            return
-        delayed.start_at = self._dispatcher.fleet.lapsed_at
-        if delayed.start_at <= self._now:
+        if not delayed.claimed_at:
             self._start_now(delayed)
 
     def _take(self, job: Job) -> None:
@@ -250,7 +247,7 @@
             if delayed.start_at > self._now:
                 continue
             if delayed.claiming:
-                # Whoever hasn't answered by now has let its leases lapse.
+                # Agents that don't answer are most likely dead.
                 self._start_now(delayed)
                 continue
             owner = self._takings.find(name)
--- a/src/godwitbank/_internal/core/runs/health.py
+++ b/src/godwitbank/_internal/core/runs/health.py
@@ -53,6 +53,9 @@
 
         :return: whether the endpoint is ejected by it.
         """
+        if now < self.ejected_until:
+            # Runs sent before; they say nothing about how it is afterwards.
+            return False
         if job == self._last_job and not self.probing:
             return False
         self._last_job = job
--- a/src/godwitbank/_internal/core/runs/ownership.py
+++ b/src/godwitbank/_internal/core/runs/ownership.py
@@ -16,6 +16,11 @@
 YIELD_SECONDS = 0.8
 """Seconds the other entry has to answer; its agents stop runs in some 50 ms."""
 
+CLAIM_SECONDS = 0.05
+"""Seconds agents have to answer a claim; those that live do within 5 ms, and their
+stopping of a run takes 50 ms. Longer waits for agents that were dark made every job
+late while an entry was missing, too."""
+
 LAPSE_SECONDS = 1.4
 """Seconds after an entry or an agent fell silent by which its runs are gone.
 
@@ -35,10 +40,7 @@
 class Takings:
     """Jobs taken by peers, newest last."""
 
-    def __init__(self, now: float) -> None:
-        # Jobs of this entry's own former process are unknown to it; they are
-        # gone once its silence has been noticed.
-        self._blind_until = now + LAPSE_SECONDS
+    def __init__(self) -> None:
         self._jobs: OrderedDict[str, Taking] = OrderedDict()
         self._lost: dict[str, float] = {}
 
@@ -67,7 +69,7 @@
         """Tell whether a peer that was lost may have taken jobs unheard."""
         lately = now - REMEMBER_SECONDS
         self._lost = {each: at for each, at in self._lost.items() if at > lately}
-        return bool(self._lost) or now < self._blind_until
+        return bool(self._lost)
 
     def find(self, job: str) -> str:
         """Find the incarnation of the peer that took a job, or an empty string."""
