--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,9 @@
 from hypothesis import HealthCheck, settings
 from standins.fleet import Fleet
 
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+"""Tests that fail for a fault not mended yet, one a line, id first."""
+
 DOCUMENTS = Path(__file__).parent.parent / "demo"
 
 settings.register_profile(
@@ -36,3 +39,24 @@
         yield started
     finally:
         started.stop()
+
+
+def _list_known_red() -> list[str]:
+    if not KNOWN_RED.exists():
+        return []
+    return [line for line in KNOWN_RED.read_text().splitlines() if line.strip()]
+
+
+def pytest_collection_modifyitems(config: pytest.Config, items: list) -> None:
+    """Pass over the tests that are known to fail, unless one is asked for by id."""
+    red = {line.partition("|")[0].strip() for line in _list_known_red()}
+    red -= set(config.args)
+    passed_over = [item for item in items if item.nodeid in red]
+    items[:] = [item for item in items if item.nodeid not in red]
+    config.hook.pytest_deselected(items=passed_over)
+
+
+def pytest_terminal_summary(terminalreporter) -> None:
+    """Print the tests that were passed over."""
+    for line in _list_known_red():
+        terminalreporter.write_line(f"KNOWN RED, not run: {line}")
--- a/tests/core/runs/test_failures.py
+++ b/tests/core/runs/test_failures.py
@@ -346,3 +346,35 @@
     world.run(4.0)
     assert "completed" in world.get_ends("j1")
     assert not world.processes["entry-0"].core.dispatcher.jobs
+
+
+def test_an_entry_started_later_knows_what_others_have_taken() -> None:
+    # Symptom: a task runs twice. Sequence: a job is in flight at one entry; another
+    # is started; the caller's connection breaks unnoticed and it goes to the new
+    # one. Cause: takings were told only when they happened.
+    world = make_world(entries=1)
+    world.submit("entry-0", make_job("j1", width=4, seconds=2.5))
+    world.run(0.2)
+    world.add_entry("entry-1")
+    world.run(1.0)
+    world.submit("entry-1", make_job("j1", width=4, seconds=2.5))
+    world.run(5.0)
+    assert "completed" in world.get_ends("j1")
+
+
+def test_an_entry_that_wakes_up_gives_way_to_the_newest_taker() -> None:
+    # Symptom: a task runs twice. Sequence: an entry is suspended; another takes its
+    # job; the first wakes up and starts the job's tasks again. Cause: a reconnected
+    # entry kept what another had taken over.
+    world = make_world()
+    world.submit("entry-0", make_job("j1", width=4, seconds=1.0))
+    world.run(0.2)
+    world.freeze("entry-0")
+    world.run(2.4)
+    world.submit("entry-1", make_job("j1", width=4, seconds=3.0))
+    world.run(0.5)
+    world.thaw("entry-0")
+    world.run(1.5)
+    assert not world.processes["entry-0"].core.dispatcher.jobs
+    world.run(4.0)
+    assert "completed" in world.get_ends("j1")
