Break sixteen rules of leased runs on purpose and see their proofs notice

Cause: most proofs of the new cores had never been seen to fail. Of sixteen breaks twelve were noticed at first; a doubtful order, a restarted agent, runs of a lost entry and late work were not: other mechanisms hid them, or the danger came later than the test looked. Change: a test each that brings the danger about.

--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -29,6 +29,8 @@
 
 
 FAILURES = "tests/failures"
+RUNS = "tests/core/runs"
+LEASED = f"{CORE}/runs"
 BREAKS = (
     Break(
         "restarted agent vouches for its predecessor",
@@ -183,6 +185,130 @@
         "rate > 0",
         f"{FAILURES}/test_endpoints.py::test_task_that_fails_everywhere_ejects_nobody",
     ),
+    Break(
+        "unanswered orders give up their room",
+        f"{LEASED}/agent.py",
+        "        held.state = RunState.DOUBTFUL\n",
+        "        held.state = RunState.DOUBTFUL\n"
+        "        self._settle(held, RunEnd.NOT_STARTED)\n        return\n",
+        f"{RUNS}/test_failures.py::test_room_of_an_unanswered_order_stays_taken",
+    ),
+    Break(
+        "an older renewal voids an unanswered order",
+        f"{LEASED}/agent.py",
+        "            return token > held.token\n",
+        "            return True\n",
+        f"{RUNS}/test_failures.py::test_a_doubtful_order_counts_until_a_higher_token_is_known",
+    ),
+    Break(
+        "restarted agent serves at once",
+        f"{LEASED}/endpoint.py",
+        "        ready = self.settled and self.reporting",
+        "        ready = self.reporting",
+        f"{RUNS}/test_failures.py::"
+        "test_a_restarted_agent_stops_what_its_predecessor_started",
+    ),
+    Break(
+        "runs of a lost entry go on",
+        f"{LEASED}/agent.py",
+        "            self._stop_owned(link.hello.incarnation)",
+        "            pass",
+        f"{RUNS}/test_failures.py::"
+        "test_runs_of_a_dead_entry_are_stopped_before_the_caller_comes_again",
+    ),
+    Break(
+        "old frames are acted on",
+        f"{LEASED}/links.py",
+        "if link is None or now - link.heard_at > SILENCE:",
+        "if link is None:",
+        f"{RUNS}/test_failures.py::test_a_frozen_agent_acts_on_nothing_old",
+    ),
+    Break(
+        "runs out of reach are started elsewhere at once",
+        f"{LEASED}/dispatcher.py",
+        "            task.free_at = self._now + LAPSE_SECONDS",
+        "            task.free_at = self._now",
+        f"{RUNS}/test_failures.py::"
+        "test_an_agent_cut_off_alone_loses_its_runs_and_they_go_elsewhere",
+    ),
+    Break(
+        "nobody is told what was taken",
+        f"{LEASED}/handover.py",
+        "            self._send(link.stream, Took([name], [0.0]))",
+        "            pass",
+        f"{RUNS}/test_failures.py::"
+        "test_a_job_submitted_elsewhere_is_stopped_where_it_was",
+    ),
+    Break(
+        "late peers are not told what was taken",
+        f"{LEASED}/handover.py",
+        "        self._tell_all_taken(link.stream)",
+        "        pass",
+        f"{RUNS}/test_failures.py::"
+        "test_an_entry_started_later_knows_what_others_have_taken",
+    ),
+    Break(
+        "no claims while a peer is missing",
+        f"{LEASED}/ownership.py",
+        "        return bool(self._lost)",
+        "        return False",
+        f"{RUNS}/test_failures.py::"
+        "test_a_job_taken_by_an_entry_that_is_cut_off_is_claimed_at_the_agents",
+    ),
+    Break(
+        "an endpoint without an answer keeps its lease",
+        f"{LEASED}/endpoint.py",
+        "        grants = not self._inherits and self._unanswered < DEAF_RENEWALS",
+        "        grants = not self._inherits",
+        f"{RUNS}/test_failures.py::"
+        "test_runs_of_a_silent_endpoint_go_elsewhere_after_its_lease",
+    ),
+    Break(
+        "draining endpoints get what waits",
+        f"{LEASED}/endpoint.py",
+        "        return bool(self.instance) and ready and not self.draining",
+        "        return bool(self.instance) and ready",
+        f"{RUNS}/test_failures.py::"
+        "test_a_draining_endpoint_gets_nothing_new_and_finishes",
+    ),
+    Break(
+        "older configurations are installed",
+        f"{LEASED}/routes.py",
+        "if self.configuration and configuration.version <= self.version:",
+        "if False:",
+        f"{RUNS}/test_entry.py::test_an_older_configuration_is_never_put_in_force",
+    ),
+    Break(
+        "a stopping entry takes all that comes",
+        f"{LEASED}/dispatcher.py",
+        "if self._now + job.objective > self.ends_at:",
+        "if False:",
+        f"{RUNS}/test_entry.py::"
+        "test_a_stopping_entry_takes_nothing_that_would_outlive_it",
+    ),
+    Break(
+        "failing endpoints stay in rotation",
+        f"{LEASED}/health.py",
+        "        if now < self.ejected_until:\n            return False\n"
+        "        return not self.probing",
+        "        return True\n        return not self.probing",
+        f"{RUNS}/test_failures.py::test_an_endpoint_that_fails_everything_is_avoided",
+    ),
+    Break(
+        "one hopeless job ejects endpoints",
+        f"{LEASED}/health.py",
+        "EJECT_SHARE = 0.6",
+        "EJECT_SHARE = 0.2",
+        f"{RUNS}/test_failures.py::"
+        "test_a_job_that_can_never_be_done_fails_and_ejects_nobody",
+    ),
+    Break(
+        "late work keeps its place",
+        f"{LEASED}/waiting.py",
+        "            if entry.rank >= now:",
+        "            if True:",
+        f"{RUNS}/test_waiting.py::test_late_work_lets_timely_work_pass",
+    ),
 )
 
 
@@ -190,7 +316,9 @@
     """Run a proof against a copy with its rule broken."""
     with tempfile.TemporaryDirectory() as folder:
         copy = Path(folder) / "copy"
-        skipped = shutil.ignore_patterns(".venv", ".git", "run", "__pycache__")
+        skipped = shutil.ignore_patterns(
+            ".venv", ".git", "run", "__pycache__", "target", "journal"
+        )
         shutil.copytree(ROOT, copy, ignore=skipped)
         source = copy / broken.path
         text = source.read_text()
--- a/tests/core/runs/test_failures.py
+++ b/tests/core/runs/test_failures.py
@@ -42,6 +42,28 @@
     assert len(starts) == 1
 
 
+def test_a_doubtful_order_counts_until_a_higher_token_is_known() -> None:
+    # Symptom: a task runs on two endpoints. Sequence: an order gets no answer; a
+    # renewal sent before it comes back without the run; renewals with the raised
+    # token are lost; the order is carried out. Cause: the older renewal was taken
+    # for proof that the order is void.
+    world = make_world(agents=2)
+    began = world.now
+    lost = []
+
+    def lose_first(order) -> float | None:
+        if lost:
+            return None
+        lost.append(order)
+        return 0.3
+
+    world.lose_start = lose_first
+    world.lose_hold = lambda agent: began + 0.05 < world.now < began + 0.35
+    world.submit("entry-0", make_job("j1", seconds=2.0))
+    world.run(5.0)
+    assert world.get_ends("j1") == ["completed"]
+
+
 def test_room_of_an_unanswered_order_stays_taken() -> None:
     # Symptom: an endpoint is over its capacity. Sequence: orders that fill it get
     # no answer but are carried out; their room is given to other tasks. Cause:
@@ -64,6 +86,7 @@
     world.run(0.2)
     world.darken("entry-0")
     world.run(1.3)
+    assert not find_agents(world, "j1")
     world.submit("entry-1", make_job("j1", width=4, seconds=3.0))
     world.run(8.0)
     assert world.get_ends("j1") == ["completed"]
@@ -133,6 +156,7 @@
     world.kill("agent-0")
     world.run(0.5)
     agent = world.add_agent("agent-0")
+    agent.give(ReportRecalled(world.kept["agent-0"]))
     world.run_until(lambda: agent.core.open)
     world.run(0.01)
     world.submit("entry-1", make_job("j2", width=8, seconds=2.0))
--- /dev/null
+++ b/tests/core/runs/test_waiting.py
@@ -0,0 +1,62 @@
+"""The order of waiting tasks."""
+
+from godwitbank._internal.core.runs.waiting import WaitingTasks
+from godwitbank._internal.core.runs.work import Job, TaskState
+from tests.lib.runs_world import QUEUE, make_job
+
+NOW = 100.0
+
+
+def add_job(waiting: WaitingTasks, name: str, rank: float, width: int = 1) -> Job:
+    job = Job(make_job(name, width), QUEUE, 1, NOW, 10.0)
+    job.lay_out([0.4])
+    job.rank = rank
+    for task in job.list_ready():
+        waiting.add(task)
+    return job
+
+
+def take_names(waiting: WaitingTasks, now: float) -> list[str]:
+    names = []
+    while (task := waiting.take(now)) is not None:
+        task.state = TaskState.SENT
+        waiting.drop()
+        names.append(task.job.spec.job)
+    return names
+
+
+def test_the_earliest_latest_start_goes_first() -> None:
+    waiting = WaitingTasks()
+    for name, rank in (("b", NOW + 2), ("a", NOW + 1), ("c", NOW + 3)):
+        add_job(waiting, name, rank)
+    assert take_names(waiting, NOW) == ["a", "b", "c"]
+
+
+def test_late_work_lets_timely_work_pass() -> None:
+    # Symptom: under overload every job is late. Cause: what was late already went
+    # first and made the next late.
+    waiting = WaitingTasks()
+    for name, rank in (("late", NOW - 1), ("later", NOW - 2), ("timely", NOW + 1)):
+        add_job(waiting, name, rank)
+    assert take_names(waiting, NOW) == ["timely", "later", "late"]
+
+
+def test_what_found_no_place_keeps_its_turn() -> None:
+    waiting = WaitingTasks()
+    add_job(waiting, "a", NOW + 1)
+    add_job(waiting, "b", NOW + 2)
+    task = waiting.take(NOW)
+    assert task is not None
+    waiting.put_back([task])
+    assert take_names(waiting, NOW) == ["a", "b"]
+    assert waiting.count == 0
+
+
+def test_only_timely_work_counts_as_backlog() -> None:
+    waiting = WaitingTasks()
+    add_job(waiting, "late", NOW - 1)
+    job = add_job(waiting, "soon", NOW + 0.5, width=2)
+    add_job(waiting, "then", NOW + 5)
+    work = sum(task.work for task in job.tasks[0])
+    first, whole = waiting.measure_timely((1.0, 10.0), NOW)
+    assert (first, whole) == (work, 1.5 * work)
