Soak the real programs under seeded faults from outside

Faults in series and overlapping: kills, pauses, orderly stops, reloads, held, frozen, cut and delayed connections through the proxy, lost and late orders, grey and draining endpoints, a store that is away, silent or loses answers.

The endpoint's stand-in now writes down starts and ends with their true times and can carry out lost orders late; the proxy holds bytes and delivers them later.

--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,208 @@
+"""Faults from outside the processes: each begins, and most end by themselves."""
+
+import contextlib
+import signal
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+import httpx
+
+from soak.fleet import SoakFleet
+
+Undo = Callable[[], None]
+
+
+class Begun(NamedTuple):
+    """A fault that was begun.
+
+    :param seconds: how long it lasts.
+    :param undo: ends it.
+    """
+
+    what: str
+    seconds: float
+    undo: Undo
+
+
+def _do_nothing() -> None:
+    return
+
+
+class Faults:
+    """Draws faults and brings them upon a deployment."""
+
+    def __init__(self, fleet: SoakFleet, rng: Random) -> None:
+        self._fleet = fleet
+        self._rng = rng
+        self._version = 1
+        self._kinds = (
+            self._kill,
+            self._kill,
+            self._pause,
+            self._pause,
+            self._stop,
+            self._reload,
+            self._hold,
+            self._hold,
+            self._freeze,
+            self._cut,
+            self._delay,
+            self._lose_orders,
+            self._make_grey,
+            self._drain,
+            self._disturb_store,
+            self._kill_all_entries,
+        )
+
+    def begin(self) -> Begun:
+        """Draw a fault and begin it."""
+        return self._rng.choice(self._kinds)()
+
+    def _pick(self) -> str:
+        fleet = self._fleet
+        names = (
+            fleet.entries + fleet.agents + [f"{each}-endpoint" for each in fleet.agents]
+        )
+        return self._rng.choice(names)
+
+    def _pick_route(self) -> tuple[str, str]:
+        fleet = self._fleet
+        routes = [(name, kind) for name in fleet.entries for kind in ("front", "inner")]
+        routes += [(name, "inner") for name in fleet.entries]
+        routes += [(name, kind) for name in fleet.agents for kind in ("app", "control")]
+        routes += [(name, "store") for name in fleet.entries + fleet.agents]
+        return self._rng.choice(routes)
+
+    def _kill(self) -> Begun:
+        name = self._pick()
+        self._fleet.end_process(name)
+        seconds = self._rng.choice((0.1, 0.6, 3.0))
+        return Begun(f"kill {name}", seconds, lambda: self._fleet.start_process(name))
+
+    def _kill_all_entries(self) -> Begun:
+        for name in self._fleet.entries:
+            self._fleet.end_process(name)
+        return Begun("kill all entries", 0.8, self._start_entries)
+
+    def _start_entries(self) -> None:
+        for name in self._fleet.entries:
+            self._fleet.start_process(name)
+
+    def _pause(self) -> Begun:
+        name = self._pick()
+        self._fleet.pause(name, True)
+        seconds = self._rng.choice((0.3, 0.9, 2.0, 4.0))
+        return Begun(f"pause {name}", seconds, lambda: self._fleet.pause(name, False))
+
+    def _stop(self) -> Begun:
+        name = self._rng.choice(self._fleet.entries + self._fleet.agents)
+        self._fleet.end_process(name, signal.SIGTERM)
+        return Begun(f"stop {name}", 6.0, lambda: self._replace(name))
+
+    def _replace(self, name: str) -> None:
+        self._fleet.end_process(name)
+        self._fleet.start_process(name)
+
+    def _reload(self) -> Begun:
+        name = self._rng.choice(self._fleet.entries + self._fleet.agents)
+        if self._fleet.processes[name].poll() is None:
+            self._fleet.kill(name, signal.SIGHUP)
+        return Begun(f"reload {name}", 0.0, _do_nothing)
+
+    def _hold(self) -> Begun:
+        name, kind = self._pick_route()
+        way = self._rng.choice(("to_target", "to_client", "both"))
+        self._fleet.command(name, kind, hold=way)
+        seconds = self._rng.choice((0.3, 1.0, 3.0))
+        return Begun(
+            f"hold {kind} of {name}, {way}",
+            seconds,
+            lambda: self._release(name, kind),
+        )
+
+    def _release(self, name: str, kind: str) -> None:
+        self._fleet.command(name, kind, hold="none")
+
+    def _freeze(self) -> Begun:
+        name, kind = self._pick_route()
+        way = self._rng.choice(("to_target", "to_client", "both"))
+        link = self._rng.randrange(100)
+        self._fleet.command(name, kind, freeze=way, link=link)
+        return Begun(f"freeze {kind} {link} of {name}, {way}", 0.0, _do_nothing)
+
+    def _cut(self) -> Begun:
+        name, kind = self._pick_route()
+        self._fleet.command(name, kind, cut=True)
+        return Begun(f"cut {kind} of {name}", 0.0, _do_nothing)
+
+    def _delay(self) -> Begun:
+        name, kind = self._pick_route()
+        delay = self._rng.choice((0.02, 0.1, 0.3))
+        self._fleet.command(name, kind, delay=delay)
+        return Begun(
+            f"delay {kind} of {name} by {delay}",
+            self._rng.choice((1.0, 4.0)),
+            lambda: self._end_delay(name, kind),
+        )
+
+    def _end_delay(self, name: str, kind: str) -> None:
+        self._fleet.command(name, kind, delay=0.0)
+
+    def _lose_orders(self) -> Begun:
+        name = self._rng.choice(self._fleet.agents)
+        after = self._rng.choice((0.0, 0.5, 3.0))
+        self._set(name, lose_starts=self._rng.randint(1, 4), carry_out_after=after)
+        return Begun(f"lose orders of {name}, late by {after}", 0.0, _do_nothing)
+
+    def _make_grey(self) -> Begun:
+        name = self._rng.choice(self._fleet.agents)
+        how = self._rng.choice(
+            ({"fails": True}, {"hangs": True}, {"speed": 5.0}, {"unhealthy": True})
+        )
+        self._set(name, **how)
+        return Begun(f"{how} at {name}", 3.0, lambda: self._set(name))
+
+    def _drain(self) -> Begun:
+        name = self._rng.choice(self._fleet.agents)
+        self._set(name, draining=True)
+        return Begun(f"drain {name}", 4.0, lambda: self._replace(f"{name}-endpoint"))
+
+    def _set(self, name: str, **knobs: object) -> None:
+        # An endpoint that is down or paused doesn't hear it; the fault is void.
+        with contextlib.suppress(httpx.HTTPError):
+            self._fleet.set_endpoint(name, **knobs)
+
+    def _disturb_store(self) -> Begun:
+        fleet = self._fleet
+        away = [fleet.find_ip(name) for name in fleet.entries[:1]]
+        how = self._rng.choice(
+            (
+                {"turned_away": ["all"], "silent": False},
+                {"turned_away": ["all"], "silent": True},
+                {"turned_away": away, "silent": False},
+                {"lose_answers": 3},
+                {"oldest": 0},
+            )
+        )
+        self._version += 1
+        fleet.set_store(**how)
+        return Begun(f"store {how}", 3.0, self._restore_store)
+
+    def _restore_store(self) -> None:
+        self._fleet.set_store(turned_away=[], silent=False, lose_answers=0)
+
+    def heal(self) -> None:
+        """End whatever may still be wrong."""
+        fleet = self._fleet
+        self._restore_store()
+        for name in fleet.entries + fleet.agents:
+            for kind in ("front", "inner", "app", "control", "store"):
+                fleet.command(name, kind, hold="none", delay=0.0)
+        for name in fleet.agents:
+            fleet.pause(f"{name}-endpoint", False)
+            self._replace(f"{name}-endpoint")
+        for name in fleet.entries + fleet.agents:
+            fleet.pause(name, False)
+            if name in fleet.ended_at:
+                self._replace(name)
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,124 @@
+"""A deployment whose every connection goes through the fault proxy."""
+
+import json
+import signal
+import socket
+import time
+from pathlib import Path
+from typing import Any
+
+from standins.fleet import pick_port, wait_for
+from standins.platform_fleet import PlatformFleet
+
+KINDS = ("front", "inner", "app", "control", "store")
+"""What a connection to or from a VM is for: callers to an entry, streams to an
+entry, an agent's calls to its endpoint, the endpoint's reports to its agent, and a
+process's calls to the store."""
+
+
+class SoakFleet(PlatformFleet):
+    """Entries and agents that know each other by the proxy's addresses only."""
+
+    def __init__(self, folder: Path, entries: int, agents: int) -> None:
+        super().__init__(folder)
+        self.entries = [f"entry-{number}" for number in range(entries)]
+        self.agents = [f"agent-{number}" for number in range(agents)]
+        self.ended_at: dict[str, float] = {}
+        """When a process was killed on purpose; absent while it should run."""
+        self._control = pick_port()
+        self._store_port = self.store.rpartition(":")[2]
+        names = self.entries + self.agents
+        routes = [self._make_route(name, kind) for name in names for kind in KINDS]
+        self._run("proxy", ["-m", "standins.proxy", str(self._control), *routes])
+        wait_for(lambda: self.command(names[0], "front", delay=0.0), "the proxy")
+        self._start_all()
+
+    def _make_route(self, name: str, kind: str) -> str:
+        listen = self._find_listen(name, kind)
+        port = listen.rpartition(":")[2]
+        target = self.store if kind == "store" else f"{self.find_ip(name)}:{port}"
+        return f"{listen}={target}"
+
+    def _find_listen(self, name: str, kind: str) -> str:
+        port = self._store_port if kind == "store" else getattr(self, kind)
+        return f"{self.find_advertised(name)}:{port}"
+
+    def find_advertised(self, name: str) -> str:
+        """Find the proxy's address in front of a VM."""
+        start, _, number = self.find_ip(name).rpartition(".")
+        return f"{start}.{int(number) + 100}"
+
+    def find_store(self, name: str) -> str:
+        """Find where a process reaches the store, through the proxy."""
+        return self._find_listen(name, "store")
+
+    def command(self, name: str, kind: str, **command: Any) -> bool:
+        """Tell the proxy what to do with connections of one kind at one VM."""
+        listen = self._find_listen(name, kind)
+        line = json.dumps({"listen": listen, **command}).encode() + b"\n"
+        try:
+            with socket.create_connection(("127.0.0.1", self._control)) as link:
+                link.sendall(line)
+                return bool(link.recv(16))
+        except OSError:
+            return False
+
+    def _start_all(self) -> None:
+        for name in self.entries:
+            self.start_process(name)
+        for name in self.agents:
+            self.start_process(f"{name}-endpoint")
+            self.start_process(name)
+        self.wait_all_ready()
+
+    def wait_all_ready(self) -> None:
+        """Wait until every entry sees every agent open."""
+        for name in self.entries:
+            self.wait_ready(name, len(self.agents))
+
+    def start_process(self, name: str) -> None:
+        """Start an entry, an agent or an endpoint, unless it runs."""
+        running = self.processes.get(name)
+        if running is not None and running.poll() is None:
+            return
+        self.ended_at.pop(name, None)
+        if name.endswith("-endpoint"):
+            self.start_endpoint(name.removesuffix("-endpoint"))
+        elif name.startswith("entry"):
+            self.start_entry(name)
+        else:
+            self.start_agent(name)
+
+    def end_process(self, name: str, how: int = signal.SIGKILL) -> None:
+        """Kill a process, or ask it to stop and don't wait."""
+        if self.processes[name].poll() is None:
+            self.ended_at[name] = time.monotonic()
+            self.kill(name, how)
+            # A killed process ends some time before its end is seen here.
+            if how == signal.SIGKILL:
+                self.write_end(name)
+
+    def write_end(self, name: str) -> None:
+        """Add a line to a process's log that says when it was killed."""
+        line = {"event": "killed", "at": time.monotonic()}
+        with (self.folder / f"{name}.log").open("a") as log:
+            log.write(json.dumps(line) + "\n")
+
+    def pause(self, name: str, paused: bool) -> None:
+        """Suspend a process, or let it go on."""
+        if self.processes[name].poll() is None:
+            how = signal.SIGSTOP if paused else signal.SIGCONT
+            self.processes[name].send_signal(how)
+
+    def wait_ended(self, name: str) -> None:
+        """Wait for the end of a process that was asked to stop."""
+        process = self.processes[name]
+        wait_for(lambda: process.poll() is not None, f"the end of {name}")
+
+    def list_dead(self) -> list[str]:
+        """List the processes that ended though nobody ended them."""
+        return [
+            name
+            for name, process in self.processes.items()
+            if process.poll() is not None and name not in self.ended_at
+        ]
--- /dev/null
+++ b/soak/play.py
@@ -0,0 +1,123 @@
+"""One seed: faults in series and overlapping, then calm, then planned work alone."""
+
+import heapq
+import itertools
+import signal
+import time
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+from standins.fleet import wait_for
+from standins.platform_fleet import CORES, ROUTE
+
+from soak.checks import find_faults
+from soak.clients import Callers
+from soak.faults import Faults, Undo
+from soak.fleet import SoakFleet
+from soak.records import read_runs, read_taken
+
+CALLERS = 5
+MOST_AT_ONCE = 4
+"""Faults that may overlap."""
+
+PAUSES = (0.05, 0.2, 0.6)
+"""Seconds between one fault and the next."""
+
+MOVED = {**ROUTE, "name": "moved", "prefix": "/moved/"}
+
+
+class Outcome(NamedTuple):
+    """What a seed showed.
+
+    :param faults: promises that were broken; empty if all held.
+    """
+
+    seed: int
+    faults: list[str]
+    begun: list[str]
+    jobs: int
+    runs: int
+
+
+def play(seed: int, seconds: float, folder: Path, entries: int, agents: int) -> Outcome:
+    """Play one seed and check what callers and endpoints saw.
+
+    :param seconds: how long faults come.
+    """
+    fleet = SoakFleet(folder, entries, agents)
+    callers = Callers(fleet, seed, CALLERS)
+    try:
+        rng = Random(seed)
+        faults = Faults(fleet, rng)
+        begun = _disturb(faults, rng, seconds)
+        broken = [f"{name} ended by itself" for name in fleet.list_dead()]
+        faults.heal()
+        fleet.wait_all_ready()
+        _wait_served(fleet, seed)
+        callers.set_planned(True)
+        _restart_entries(fleet)
+        callers.set_planned(False)
+        _change_configuration(fleet)
+    finally:
+        callers.stop()
+        fleet.stop()
+    runs = read_runs(folder)
+    broken += find_faults(callers.attempts, runs, read_taken(folder), CORES)
+    jobs = len({attempt.job for attempt in callers.attempts})
+    return Outcome(seed, broken, begun, jobs, len(runs))
+
+
+def _disturb(faults: Faults, rng: Random, seconds: float) -> list[str]:
+    begun: list[str] = []
+    order = itertools.count()
+    open_faults: list[tuple[float, int, Undo]] = []
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        while open_faults and open_faults[0][0] <= time.monotonic():
+            heapq.heappop(open_faults)[2]()
+        if len(open_faults) < MOST_AT_ONCE:
+            fault = faults.begin()
+            begun.append(f"{time.monotonic():.3f} {fault.what} for {fault.seconds}")
+            ends_at = time.monotonic() + fault.seconds
+            heapq.heappush(open_faults, (ends_at, next(order), fault.undo))
+        time.sleep(rng.choice(PAUSES))
+    for _, _, undo in sorted(open_faults, key=lambda each: each[:2]):
+        undo()
+    return begun
+
+
+def _wait_served(fleet: SoakFleet, seed: int) -> None:
+    numbers = itertools.count(1)
+    for entry in fleet.entries:
+
+        def is_served(entry: str = entry) -> bool:
+            job = f"f{seed % 0xFFFF:04x}{next(numbers):011x}"
+            return fleet.submit(entry, job).status_code == 200
+
+        wait_for(is_served, f"a job served by {entry} after the faults")
+
+
+def _restart_entries(fleet: SoakFleet) -> None:
+    """Stop each entry and start it again, callers' connections open all the while."""
+    for name in fleet.entries:
+        fleet.end_process(name, signal.SIGTERM)
+        fleet.wait_ended(name)
+        fleet.start_process(name)
+        fleet.wait_ready(name, len(fleet.agents))
+
+
+def _change_configuration(fleet: SoakFleet) -> None:
+    """Replace the route; the old one must go everywhere and never come back."""
+    fleet.write_routes(10**6, [MOVED])
+    for name in fleet.entries:
+        wait_for(partial(_is_moved, fleet, name), f"the new route at {name}")
+    for name in fleet.entries:
+        assert _is_moved(fleet, name), f"{name} went back to an older configuration"
+
+
+def _is_moved(fleet: SoakFleet, name: str) -> bool:
+    new = fleet.call("GET", name, "/moved/").status_code
+    old = fleet.call("GET", name, "/checks/").status_code
+    return (new, old) == (200, 404)
--- a/src/godwitbank/_internal/cli/entrypoints.py
+++ b/src/godwitbank/_internal/cli/entrypoints.py
@@ -95,12 +95,19 @@
     program = Program(
         "launch", "run one of the daemons on the platform", "launch.py entry|agent"
     )
+    program.define_string(
+        "stream_bind",
+        "",
+        "host:port an entry listens on for streams, if others are told another.",
+    )
 
     def main(values: flags.FlagValues, arguments: list[str]) -> Status:
-        del values
         from godwitbank._internal.platform import programs
 
-        serve = {"entry": programs.serve_entry, "agent": programs.serve_agent}
+        serve = {
+            "entry": lambda: programs.serve_entry(values.stream_bind),
+            "agent": programs.serve_agent,
+        }
         if len(arguments) != 1 or arguments[0] not in serve:
             raise UsageError(
                 "which program?", remedy="give 'entry' or 'agent', and nothing else"
--- a/src/godwitbank/_internal/platform/programs.py
+++ b/src/godwitbank/_internal/platform/programs.py
@@ -95,8 +95,12 @@
     process.learn_entries(await store.find_entries())
 
 
-async def serve_entry() -> None:
-    """Run the entry until it is stopped."""
+async def serve_entry(stream_bind: str = "") -> None:
+    """Run the entry until it is stopped.
+
+    :param stream_bind: ``host:port`` to listen on for streams, where something
+        between passes on what comes to the address that others are told.
+    """
     from godwitbank._internal.platform.callers import make_callers_app
 
     settings = PlatformSettings.from_environment()
@@ -104,7 +108,7 @@
     process = RunEntryProcess(_identify(settings), Random(os.urandom(8)), log)
     _watch_settings(process, log)
     loop = asyncio.get_running_loop()
-    listener = bind(settings.stream, "port-range")
+    listener = bind(stream_bind or settings.stream, "port-range")
     server = await loop.create_server(process.streams.make_accepted, sock=listener)
     process.learn_entries(settings.seeds)
     store = StoreClient(settings.store, settings.name, log)
--- a/standins/leased_endpoint.py
+++ b/standins/leased_endpoint.py
@@ -52,6 +52,20 @@
         self.stop_at: float | None = None
 
 
+class Life(NamedTuple):
+    """A run that has ended, and when it really did.
+
+    The endpoint may notice an end later than it came; times are those of the
+    caller's clock.
+    """
+
+    task: str
+    run: int
+    began: float
+    ended: float
+    end: str
+
+
 class FakeEndpoint:
     """One boot of an endpoint."""
 
@@ -70,6 +84,7 @@
         self.clock_rate = 0.98
         self.draining = False
         self.started: list[tuple[float, str, int]] = []
+        self.lives: list[Life] = []
         self._clock_base = clock_base
         self._number = 0
         self._sequence = 0
@@ -96,16 +111,21 @@
         """End what is due."""
         lapsed = self.clock(now) >= self.lease_until
         for run in list(self.alive.values()):
+            done_at = run.began + run.seconds
             if run.stop_at is not None and now >= run.stop_at:
-                self._end(run, RunEnd.STOPPED)
+                self._end(run, RunEnd.STOPPED, run.stop_at)
             elif lapsed:
-                self._end(run, RunEnd.LOST)
-            elif now - run.began >= run.seconds and not self.behaviour.hangs:
+                self._end(run, RunEnd.LOST, self._read_lapse())
+            elif now >= done_at and not self.behaviour.hangs:
                 failed = self.behaviour.fails
-                self._end(run, RunEnd.FAILED if failed else RunEnd.DONE)
+                self._end(run, RunEnd.FAILED if failed else RunEnd.DONE, done_at)
+
+    def _read_lapse(self) -> float:
+        return (self.lease_until - self._clock_base) / 1000 / self.clock_rate
 
-    def _end(self, run: Alive, end: RunEnd) -> None:
+    def _end(self, run: Alive, end: RunEnd, at: float) -> None:
         del self.alive[run.task]
+        self.lives.append(Life(run.task, run.run, run.began, at, end))
         self._number += 1
         self.ends.append(ListedEnd(self._number, run.task, run.run, end, ""))
 
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -2,11 +2,14 @@
 
 Usage: ``python -m standins.platform_endpoint SERVICE ADDRESS AGENT CORES``. A task's
 run time in seconds is its job's payload. ``PUT /control`` sets ``Behaviour``,
-``draining``, and how many answers to starts are lost.
+``draining``, how many answers to starts are lost, and how many seconds later those
+are carried out (0: never). Each start and each end is a JSON line on standard
+output, with times of the machine's monotonic clock.
 """
 
 import asyncio
 import contextlib
+import json
 import sys
 import time
 from typing import Any
@@ -15,7 +18,13 @@
 import uvicorn
 from litestar import Litestar, Request, Response, get, post, put
 
-from godwitbank._internal.core.runs.events import HoldFailed, Renew, Start, Stop
+from godwitbank._internal.core.runs.events import (
+    HoldFailed,
+    Renew,
+    Start,
+    StartAnswered,
+    Stop,
+)
 from godwitbank._internal.core.runs.verdicts import StartVerdict
 from godwitbank._internal.models.resources import Resources
 from standins.leased_endpoint import Behaviour, FakeEndpoint
@@ -41,7 +50,10 @@
         base = int(time.time() * 1000) % 10**9
         self.fake = FakeEndpoint(instance, service, capacity, base)
         self.lose_starts = 0
+        self.carry_out_after = 0.0
+        self.drain_heard_at = 0.0
         self.most_at_once = 0
+        self._told = 0
         self.began = time.monotonic()
 
     @property
@@ -49,6 +61,49 @@
         """Seconds since this boot."""
         return time.monotonic() - self.began
 
+    def start(self, order: Start, late: bool) -> StartAnswered:
+        """Carry out an order to start, and tell of it."""
+        before = len(self.fake.started)
+        answer = self.fake.start(order, self.now, float(order.payload))
+        if len(self.fake.started) > before:
+            self.tell(
+                event="began",
+                task=order.task,
+                run=order.run,
+                late=late,
+                alive=len(self.fake.alive),
+                drain_heard_at=self.drain_heard_at,
+            )
+        self.most_at_once = max(self.most_at_once, len(self.fake.alive))
+        return answer
+
+    async def lose_start(self, order: Start) -> None:
+        """Leave an order unanswered; perhaps carry it out later."""
+        if self.carry_out_after:
+            await asyncio.sleep(self.carry_out_after)
+            self.start(order, late=True)
+        await asyncio.sleep(3600)
+
+    def tell(self, **fields: Any) -> None:
+        """Write a line of what happened here."""
+        line = {"instance": self.fake.instance, "at": time.monotonic(), **fields}
+        print(json.dumps(line), flush=True)
+
+    async def tell_ends_forever(self) -> None:
+        """Write a line for each run that has ended."""
+        while True:
+            self.fake.advance(self.now)
+            for life in self.fake.lives[self._told :]:
+                self.tell(
+                    event="ended",
+                    task=life.task,
+                    run=life.run,
+                    ended=self.began + life.ended,
+                    end=str(life.end),
+                )
+            self._told = len(self.fake.lives)
+            await asyncio.sleep(POLL_SECONDS)
+
     def describe(self) -> dict[str, Any]:
         """Make the body of a report."""
         report = self.fake.report(self.now)
@@ -73,7 +128,11 @@
             url = f"http://{self.agent}/-/instances/{self.fake.instance}"
             while True:
                 with contextlib.suppress(httpx.HTTPError):
-                    await client.put(url, json=self.describe(), timeout=1.0)
+                    body = self.describe()
+                    answer = await client.put(url, json=body, timeout=1.0)
+                    heard = answer.is_success and body["state"] == "draining"
+                    if heard and not self.drain_heard_at:
+                        self.drain_heard_at = time.monotonic()
                 await asyncio.sleep(REPORT_SECONDS)
 
 
@@ -102,9 +161,8 @@
         )
         if daemon.lose_starts > 0:
             daemon.lose_starts -= 1
-            await asyncio.sleep(3600)
-        answer = fake.start(order, daemon.now, float(order.payload))
-        daemon.most_at_once = max(daemon.most_at_once, len(fake.alive))
+            await daemon.lose_start(order)
+        answer = daemon.start(order, late=False)
         clock = {"clock-ms": answer.clock}
         if answer.verdict == StartVerdict.STARTED:
             return Response(clock, status_code=200)
@@ -162,6 +220,7 @@
         body = await request.json()
         fake.draining = body.pop("draining", fake.draining)
         daemon.lose_starts = body.pop("lose_starts", daemon.lose_starts)
+        daemon.carry_out_after = body.pop("carry_out_after", daemon.carry_out_after)
         fake.behaviour = Behaviour(**body)
         return {}
 
@@ -193,9 +252,14 @@
     config = uvicorn.Config(
         make_app(daemon), host=host, port=int(port), log_level="warning"
     )
-    reports = asyncio.create_task(daemon.report_forever())
+    daemon.tell(event="booted")
+    chores = [
+        asyncio.create_task(daemon.report_forever()),
+        asyncio.create_task(daemon.tell_ends_forever()),
+    ]
     await uvicorn.Server(config).serve()
-    reports.cancel()
+    for chore in chores:
+        chore.cancel()
 
 
 if __name__ == "__main__":
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -20,6 +20,9 @@
 SERVICE = "desk"
 CORES = 4
 
+KNOB_SECONDS = 2.0
+"""Longest wait for an endpoint to obey; a paused one never does."""
+
 ROUTE = {
     "name": "checks",
     "host": "desk.example",
@@ -69,21 +72,31 @@
             self._addresses[name] = f"127.9.{os.getpid() % 250}.{number}"
         return self._addresses[name]
 
+    def find_advertised(self, name: str) -> str:
+        """Find the address that other processes know a process by."""
+        return self.find_ip(name)
+
+    def find_store(self, name: str) -> str:
+        """Find where a process reaches the store."""
+        del name
+        return self.store
+
     def _write_settings(self, name: str, kind: str) -> str:
         ip = self.find_ip(name)
+        seen = self.find_advertised(name)
         seeds = [
-            f"{address}:{self.control}"
-            for other, address in self._addresses.items()
+            f"{self.find_advertised(other)}:{self.control}"
+            for other in self._addresses
             if other.startswith("entry")
         ]
         lines = [
             f"node={name}",
             f"class={kind}",
-            f"ip={ip}",
+            f"ip={seen}",
             "zone=zone-1",
             f"port-range={self.inner},{self.inner + 10}",
             f"seeds={','.join(seeds[:3])}",
-            f"platform.address={self.store}",
+            f"platform.address={self.find_store(name)}",
             f"listen.control={ip}:{self.control}",
             "a-field-that-may-come=1",
         ]
@@ -91,13 +104,15 @@
             lines += [f"listen.front={ip}:{self.front}"]
             lines += [f"listen.ready={ip}:{self.ready}"]
         else:
-            lines += [f"app={ip}:{self.app}", f"service={SERVICE}"]
+            lines += [f"app={seen}:{self.app}", f"service={SERVICE}"]
         return "\n".join(lines) + "\n"
 
     def start_entry(self, name: str) -> None:
         """Start an entry."""
         settings = self._write_settings(name, "front")
-        self._run(name, ["deploy/launch.py", "entry"], settings)
+        stream = f"{self.find_ip(name)}:{self.inner}"
+        words = ["deploy/launch.py", "entry", f"--stream_bind={stream}"]
+        self._run(name, words, settings)
 
     def start_agent(self, name: str) -> None:
         """Start an agent."""
@@ -108,7 +123,8 @@
         """Start the endpoint beside an agent."""
         ip = self.find_ip(name)
         words = ["-m", "standins.platform_endpoint", SERVICE]
-        words += [f"{ip}:{self.app}", f"{ip}:{self.control}", str(CORES)]
+        agent = f"{self.find_advertised(name)}:{self.control}"
+        words += [f"{ip}:{self.app}", agent, str(CORES)]
         self._run(f"{name}-endpoint", words)
 
     def start(self, entries: int, agents: int) -> None:
@@ -162,7 +178,7 @@
     def set_endpoint(self, name: str, **knobs: Any) -> None:
         """Turn an endpoint's knobs."""
         url = f"http://{self.find_ip(name)}:{self.app}/control"
-        self.client.put(url, content=json.dumps(knobs))
+        self.client.put(url, content=json.dumps(knobs), timeout=KNOB_SECONDS)
 
     def see_endpoint(self, name: str) -> dict[str, Any]:
         """Tell what an endpoint has started and runs."""
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -1,13 +1,17 @@
 """A fault-injecting TCP proxy, also used as the platform's balancer.
 
 ``python -m standins.proxy CONTROL LISTEN=TARGET[,TARGET...] ...`` forwards each
-listening port to its targets in turn. Commands come as JSON lines on the control
-port: ``{"listen": 9000, "delay": 0.003, "freeze": "to_target", "cut": true}``.
+listening port, or ``HOST:PORT``, to its targets in turn. Commands come as JSON
+lines on the control port:
+``{"listen": 9000, "delay": 0.003, "freeze": "to_target", "cut": true}``.
 
 * ``delay``: seconds added each way.
 * ``freeze``: ``none``, ``to_target``, ``to_client`` or ``both``; bytes of the
-  connections open now are held for good, new connections work.
+  connections open now are lost, new connections work.
+* ``hold``: the same ways; bytes of all connections, new ones too, wait until the
+  hold ends and are delivered then, as after a partition of the network.
 * ``cut``: close the connections open now.
+* ``link``: the number of the one connection that ``freeze`` and ``cut`` mean.
 * ``refuse``: close new connections at once.
 * ``drop``: bytes to swallow from the next data towards the target.
 * ``repeat``: send the next data towards the target twice.
@@ -51,6 +55,7 @@
         self.route = route
         self.frozen = {"to_target": False, "to_client": False}
         self.waiting: list[bytes] = []
+        self.held: list[tuple[str, bytes]] = []
         self.ends: dict[str, asyncio.Transport | None] = {
             "to_target": None,
             "to_client": None,
@@ -60,6 +65,9 @@
         """Pass bytes on."""
         if self.frozen[towards]:
             return
+        if self.route.hold in (towards, "both"):
+            self.held.append((towards, data))
+            return
         if towards == "to_target":
             data = self.route.spoil(data)
         if self.route.delay:
@@ -68,6 +76,12 @@
         else:
             self.write(towards, data)
 
+    def release(self) -> None:
+        """Pass on what was held."""
+        held, self.held = self.held, []
+        for towards, data in held:
+            self.forward(towards, data)
+
     def write(self, towards: str, data: bytes) -> None:
         """Write bytes to an end, or keep them until it is connected."""
         end = self.ends[towards]
@@ -86,7 +100,7 @@
                 asyncio.get_running_loop().call_later(self.route.delay, other.close)
             else:
                 other.close()
-        self.route.links.discard(self)
+        self.route.links.pop(self, None)
 
     def cut(self) -> None:
         """Close both ends."""
@@ -98,12 +112,14 @@
 class Route:
     """A listening port and its targets."""
 
-    def __init__(self, port: int, targets: list[tuple[str, int]]) -> None:
-        self.port = port
+    def __init__(self, listen: str, targets: list[tuple[str, int]]) -> None:
+        self.listen = listen
         self.targets = targets
         self.turn = itertools.count()
-        self.links: set[Link] = set()
+        # Oldest first: a set would give another order each run.
+        self.links: dict[Link, None] = {}
         self.delay = 0.0
+        self.hold = "none"
         self.refuse = False
         self.drop = 0
         self.repeat = False
@@ -128,7 +144,7 @@
         if self.refuse:
             client.abort()
             return
-        self.links.add(link)
+        self.links[link] = None
         loop = asyncio.get_running_loop()
         for _ in range(len(self.targets)):
             host, port = self.targets[next(self.turn) % len(self.targets)]
@@ -146,19 +162,28 @@
 
     def control(self, command: dict[str, Any]) -> None:
         """Obey a command."""
-        for name in ("delay", "refuse", "drop", "repeat"):
+        for name in ("delay", "refuse", "drop", "repeat", "hold"):
             if name in command:
                 setattr(self, name, command[name])
+        if "hold" in command:
+            for link in self.links:
+                link.release()
         if "targets" in command:
             self.targets = [parse(each) for each in command["targets"]]
         if "freeze" in command:
-            for link in self.links:
+            for link in self._select(command):
                 for way in link.frozen:
                     link.frozen[way] = command["freeze"] in (way, "both")
         if command.get("cut"):
-            for link in list(self.links):
+            for link in self._select(command):
                 link.cut()
-            self.links.clear()
+                self.links.pop(link, None)
+
+    def _select(self, command: dict[str, Any]) -> list[Link]:
+        links = list(self.links)
+        if "link" in command and links:
+            return [links[command["link"] % len(links)]]
+        return links
 
 
 class ClientPipe(Pipe):
@@ -181,15 +206,15 @@
 
 async def serve(control_port: int, routes: list[Route]) -> None:
     """Forward until killed."""
-    by_port = {route.port: route for route in routes}
+    by_address = {route.listen: route for route in routes}
     loop = asyncio.get_running_loop()
     for route in routes:
-        await loop.create_server(route.accept, "127.0.0.1", route.port)
+        await loop.create_server(route.accept, *parse(route.listen))
 
     async def obey(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readline():
             command = json.loads(line)
-            by_port[command["listen"]].control(command)
+            by_address[str(command["listen"])].control(command)
             writer.write(b"{}\n")
         writer.close()
 
@@ -201,8 +226,8 @@
     """Read the command line and serve."""
     routes = []
     for argument in sys.argv[2:]:
-        port, _, targets = argument.partition("=")
-        routes.append(Route(int(port), [parse(each) for each in targets.split(",")]))
+        listen, _, targets = argument.partition("=")
+        routes.append(Route(listen, [parse(each) for each in targets.split(",")]))
     asyncio.run(serve(int(sys.argv[1]), routes))
 
 
