Move runs off slow endpoints; let urgent jobs in past less urgent work

Entries learned of a slow endpoint from results alone, which came late, and placed urgent runs there while any room was left. After the final fault, 63 jobs were refused behind long work that could have waited a second.

Change: the agent takes each run's rate from the renewals, tells its endpoint's slowness with its pulse and names runs that would end sooner elsewhere; the entry stops one if it has room for it. Slow endpoints come after a wait at brisk ones, and count for less capacity. A job is refused for waiting work only if that must start before it.

--- a/src/godwitbank/_internal/core/runs/admission.py
+++ b/src/godwitbank/_internal/core/runs/admission.py
@@ -17,14 +17,15 @@
 TOLERANCE = 1.0
 """Multiple of a job's slack that its expected wait may reach."""
 
-MAX_DRAIN = 0.02
-"""Seconds all endpoints may need for the work that waits, more urgent or not.
+MAX_DRAIN = 0.01
+"""Seconds all endpoints may need for what waits and must start before a new job.
 
 Above it more arrives than can be served. What is taken then makes something else
-late, whatever its own place in the queue: a long job that may wait a second is
-overtaken for longer than that. Played load at 126 % of capacity earned 0.57 of
-the worth without this bound, 0.67 with 0.2 s, 0.76 with 0.02 s, 0.77 with none
-waiting at all; at 99 % of capacity 0.89, 0.91, 0.93 and 0.90.
+late: a long job that may wait a second is overtaken for longer than that. Less urgent
+work doesn't count: it lets the new job pass. Played load at 95, 108 and 126 % of
+capacity earned 0.950, 0.872 and 0.732 of the worth with 0.02 s of all that waits, and
+0.945, 0.872 and 0.746 with this; the worst-served queue 0.931, 0.828 and 0.657, and
+0.927, 0.863 and 0.705.
 """
 
 FEW_TASKS = 2
@@ -60,13 +61,12 @@
             return "no_endpoint"
         slack = max(job.rank - now, 0.05)
         position = bisect_left(HORIZONS, slack)
-        ahead = own[position]
-        ahead += sum(backlog[position] for backlog in self._peers.values())
+        others = sum(backlog[position] for backlog in self._peers.values())
+        ahead = own[position] + others
         if ahead / capacity > TOLERANCE * slack:
             return "overload"
-        others = sum(backlog[-1] for backlog in self._peers.values())
         few = tasks < FEW_TASKS and others <= MAX_DRAIN * capacity / 2
-        if not few and own[-1] + others > MAX_DRAIN * capacity:
+        if not few and ahead > MAX_DRAIN * capacity:
             return "overload"
         return None
 
--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -38,8 +38,9 @@
 from godwitbank._internal.core.runs.lease import CLOCK_SKEW, LAPSE_SLACK, MAX_LEASE
 from godwitbank._internal.core.runs.links import PULSE, Link, Links
 from godwitbank._internal.core.runs.outbox import Outbox
+from godwitbank._internal.core.runs.progress import Sample, Slowness
 from godwitbank._internal.core.runs.verdicts import HoldVerdict, StartVerdict
-from godwitbank._internal.models.jobs import ListedEnd, RunEnd
+from godwitbank._internal.models.jobs import ListedEnd, ListedRun, RunEnd
 from godwitbank._internal.models.messages import (
     PROTOCOL_VERSION,
     Hello,
@@ -56,20 +57,11 @@
     Room,
     RunBegun,
     RunOutcome,
+    RunSlow,
     StartRun,
     StopRun,
 )
 
-STALL_SECONDS = 0.5
-"""Seconds without progress after which a run counts as standing still.
-
-Progress is told in whole percent with every renewal (``RENEWAL_WAIT`` apart);
-a run of some seconds moves several times in this span.
-"""
-
-STALL_FACTOR = 10.0
-"""Expected seconds for one percent of progress that must have passed, too."""
-
 REMEMBERED_RUNS = 512
 """Ended runs that are remembered: answers to renewals may overtake each other,
 and an older one still lists as running what a newer one told as ended."""
@@ -101,6 +93,7 @@
         self._told_news: dict[int, EndpointNews] = {}
         self._told_room: dict[int, Room] = {}
         self._claims = Claims()
+        self._slowness = Slowness(now)
         self._settled: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._quiet = False
         self._out: list[RunAction] = []
@@ -292,7 +285,8 @@
 
     def _order(self, held: HeldRun) -> None:
         held.state = RunState.ORDERED
-        held.ordered_at = held.moved_at = self._now
+        held.ordered_at = self._now
+        held.progress.restart(self._now)
         action = self.endpoint.make_start(held.order, self._now)
         held.token = action.token
         self.counts.add("starts_ordered")
@@ -382,10 +376,11 @@
         for end in event.ended:
             self._hear_end(end)
         listed = {each.task: each for each in event.running}
+        self._hear_progress(listed)
         for held in self.shelf.list_placed():
             row = listed.pop(held.order.task, None)
             if row is not None and row.run == held.order.run:
-                self._see_running(held, row.percent)
+                self._see_running(held)
             elif self._is_gone(held, renewal.token, renewal.issued_at):
                 self._settle_absent(held)
         strangers = [
@@ -395,6 +390,16 @@
         ]
         self._out += self.endpoint.deal_with_strangers(strangers, self._now)
 
+    def _hear_progress(self, listed: dict[str, ListedRun]) -> None:
+        samples = []
+        for held in self.shelf.list_placed():
+            row = listed.get(held.order.task)
+            if row is not None and row.run == held.order.run:
+                held.progress.hear(row.percent, self._now)
+                expected = held.order.expected
+                samples.append(Sample(held.job, held.progress, expected))
+        self._slowness.hear(samples, self._now)
+
     def _is_gone(self, held: HeldRun, token: int, issued_at: float) -> bool:
         if held.state is RunState.DOUBTFUL:
             return token > held.token
@@ -405,22 +410,24 @@
         self._note("run_absent", held.order.task, run=held.order.run, started=started)
         self._settle(held, RunEnd.LOST if started else RunEnd.NOT_STARTED)
 
-    def _see_running(self, held: HeldRun, percent: int) -> None:
+    def _see_running(self, held: HeldRun) -> None:
         if held.state in (RunState.ORDERED, RunState.DOUBTFUL):
             held.state = RunState.STOPPING if held.stop_reason else RunState.RUNNING
             held.confirmed_at = min(held.confirmed_at, self._now)
-        if percent != held.percent:
-            held.percent = percent
-            held.moved_at = self._now
         if held.stop_reason and self._now - held.stopped_at > STOP_RETRY:
             held.stopped_at = self._now
             self._out.append(self.endpoint.make_stop(held.order.task, held.order.run))
-        elif not held.stop_reason and self._is_stalled(held):
-            self._end_by_order(held, RunEnd.STALLED)
+        elif not held.stop_reason:
+            self._stop_if_hopeless(held)
 
-    def _is_stalled(self, held: HeldRun) -> bool:
-        patience = STALL_SECONDS + STALL_FACTOR * held.order.expected / 100
-        return self._now - held.moved_at > patience
+    def _stop_if_hopeless(self, held: HeldRun) -> None:
+        slowness = self._slowness.read(self._now)
+        if held.progress.is_stalled(held.order.expected, self._now):
+            self._end_by_order(held, RunEnd.STALLED)
+        elif held.progress.should_tell_slow(slowness, self._now):
+            link = self.links.find(held.owner)
+            if link is not None:
+                self._send(link.stream, RunSlow(held.order.task, held.order.run))
 
     def _hear_end(self, end: ListedEnd) -> None:
         if not self.endpoint.see_end(end.number):
@@ -522,8 +529,9 @@
         self._dial()
         if self._now >= self.links.pulse_at:
             self.links.pulse_at = self._now + PULSE
+            slowness = round(self._slowness.read(self._now), 1)
             for link in self.links:
-                self._send(link.stream, Pulse([]))
+                self._send(link.stream, Pulse([], slowness))
         if self.endpoint.has_lapsed(self._now) and self.shelf.list_placed():
             # No renewal reached the endpoint within the longest lease: it has
             # ended everything by itself, whether it lives or not.
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -18,6 +18,7 @@
 from godwitbank._internal.models.run_messages import (
     RunBegun,
     RunOutcome,
+    RunSlow,
     StartRun,
     StopRun,
 )
@@ -26,6 +27,10 @@
 """Waiting tasks looked at in one go; behind that many that found no place the
 rest is as unlikely to find one."""
 
+MAX_MOVES = 2
+"""Times a task is moved because it was slow. What was expected of it may be wrong, and
+it would be as slow everywhere."""
+
 LATE_RANK = 1000.0
 """Seconds of rank behind every timely task; what has been late for longer comes
 after what is late for less, as it is less likely to be of use still."""
@@ -213,7 +218,7 @@
             task.job.spec.payload,
             *rules.needs,
             self._rank_in(task),
-            task.expected * view.health.factor(),
+            task.expected,
             rules.spread,
             task.checkpoint,
         )
@@ -233,6 +238,29 @@
             view.begin(task)
             self.dispatch(view.service)
 
+    def hear_slow(self, view: AgentView, message: RunSlow) -> None:
+        """Move a slow run, if there is room for it elsewhere now.
+
+        What it has done so far is lost. While work waits for room that would make
+        other work late: played at 90 % of capacity with two endpoints of eleven five
+        times slower, moving at once earned 0.85 of the worth, as much as not moving.
+        """
+        task = view.tasks.get(message.task)
+        if task is None or task.run != message.run or task.job.ending:
+            return
+        service = task.job.queue.service
+        if task.moves >= MAX_MOVES or self._get_waiting(task.job).count:
+            return
+        task.avoid.add(view.address)
+        views = [each for each in self.fleet.list_open(service) if each is not view]
+        place = choose_place(task, views, self._zone, self._rng, self._now)
+        if place is None or place.parked or place.view.factor >= view.factor:
+            return
+        task.moves += 1
+        self._counts.add("task_moves")
+        self._note("run_moved", task.name, run=task.run, agent=view.address)
+        self._out(Send(view.stream, StopRun(task.name, task.run)))
+
     def hear_outcome(self, view: AgentView, message: RunOutcome) -> None:
         """Act on the end of a run."""
         task = self._find_task(view, message)
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -55,6 +55,7 @@
     Rules,
     RunBegun,
     RunOutcome,
+    RunSlow,
     Took,
     Yield,
     Yielded,
@@ -104,11 +105,12 @@
         self._agent_receivers: dict[type, Callable] = {
             RunOutcome: self.dispatcher.hear_outcome,
             RunBegun: self.dispatcher.hear_begun,
+            RunSlow: self.dispatcher.hear_slow,
             Room: self._hear_room,
             EndpointNews: self._hear_news,
             Holding: self._hear_holding,
             Claimed: self.handover.hear_claimed,
-            Pulse: self._ignore,
+            Pulse: self._hear_agents_pulse,
         }
         self._peer_receivers: dict[type, Callable] = {
             Pulse: self._hear_pulse,
@@ -299,9 +301,6 @@
             return
         receiver(view or link, event.message)
 
-    def _ignore(self, view: AgentView, message: Message) -> None:
-        del view, message
-
     # Agents
 
     def _hear_room(self, view: AgentView, room: Room) -> None:
@@ -317,6 +316,9 @@
             self.dispatcher.settle_agent(view)
         self.dispatcher.dispatch(view.service)
 
+    def _hear_agents_pulse(self, view: AgentView, pulse: Pulse) -> None:
+        view.slowness = pulse.slowness
+
     def _hear_holding(self, view: AgentView, holding: Holding) -> None:
         self.dispatcher.reconcile(view, holding.tasks)
 
@@ -368,7 +370,7 @@
             self.links.pulse_at = self._now + PULSE
             backlog = self.dispatcher.measure_backlog()
             for link in self.links:
-                self._send(link.stream, Pulse(backlog))
+                self._send(link.stream, Pulse(backlog, 1.0))
         if self._now >= self._tick_at:
             self._tick_at = self._now + TICK
             self.handover.start_delayed()
--- a/src/godwitbank/_internal/core/runs/fleet.py
+++ b/src/godwitbank/_internal/core/runs/fleet.py
@@ -35,6 +35,7 @@
         self.labels: frozenset[str] = frozenset()
         self.tasks: dict[str, Task] = {}
         self.parked_by_others = 0
+        self.slowness = 1.0
         self.my_parked = 0
         self._room = Resources()
         self._sent = 0
@@ -51,6 +52,14 @@
         """Service of the endpoint; empty while none has reported."""
         return self.news.service if self.news else ""
 
+    @property
+    def factor(self) -> float:
+        """How many times as long as elsewhere runs take here.
+
+        The agent tells it at once, results of runs tell it when they come.
+        """
+        return max(self.health.factor(), self.slowness)
+
     @property
     def free(self) -> Resources:
         """Room as last told, less what is on its way there."""
@@ -140,5 +149,9 @@
         return None
 
     def measure_capacity(self, service: str) -> float:
-        """Tell the cores of all endpoints that take runs of a service."""
-        return sum(view.capacity.cpu for view in self.list_open(service)) / 1000
+        """Tell the cores of all endpoints that take runs of a service.
+
+        One that is slow counts for as much less.
+        """
+        views = self.list_open(service)
+        return sum(view.capacity.cpu / view.factor for view in views) / 1000
--- a/src/godwitbank/_internal/core/runs/held.py
+++ b/src/godwitbank/_internal/core/runs/held.py
@@ -3,6 +3,7 @@
 import heapq
 from enum import Enum, auto
 
+from godwitbank._internal.core.runs.progress import Progress
 from godwitbank._internal.models.resources import Resources
 from godwitbank._internal.models.run_messages import StartRun
 
@@ -29,8 +30,7 @@
         "arrived_at",
         "ordered_at",
         "token",
-        "percent",
-        "moved_at",
+        "progress",
         "passed_over",
         "stop_reason",
         "stopped_at",
@@ -46,8 +46,7 @@
         self.arrived_at = now
         self.ordered_at = now
         self.token = 0
-        self.percent = 0
-        self.moved_at = now
+        self.progress = Progress(now)
         self.passed_over = 0
         self.stop_reason = ""
         self.stopped_at = 0.0
--- a/src/godwitbank/_internal/core/runs/placement.py
+++ b/src/godwitbank/_internal/core/runs/placement.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from godwitbank._internal.core.runs.fleet import AgentView
+from godwitbank._internal.core.runs.progress import SLOW_FACTOR
 from godwitbank._internal.core.runs.work import Task
 
 PARKED_PER_ENTRY = 1
@@ -35,8 +36,24 @@
 def choose_place(
     task: Task, views: list[AgentView], zone: str, rng: Random, now: float
 ) -> Place | None:
-    """Choose the agent where a run is expected to end first."""
+    """Choose the agent where a run is expected to end first.
+
+    A wait for room costs less than a run that takes several times as long, so slow
+    endpoints come last, room or not.
+    """
     allowed = [view for view in views if _is_allowed(view, task, now)]
+    brisk = [view for view in allowed if view.factor < SLOW_FACTOR]
+    slow = [view for view in allowed if view.factor >= SLOW_FACTOR]
+    for candidates in (brisk, slow):
+        place = _choose_among(candidates, task, zone, rng)
+        if place is not None:
+            return place
+    return None
+
+
+def _choose_among(
+    allowed: list[AgentView], task: Task, zone: str, rng: Random
+) -> Place | None:
     untried = [view for view in allowed if view.address not in task.avoid]
     needs = task.rules.needs
     for candidates in (untried, allowed):
@@ -64,7 +81,7 @@
 
 
 def _score(view: AgentView, task: Task, zone: str, rng: Random) -> float:
-    factor = view.health.factor()
+    factor = view.factor
     rack = task.rules.rack
     if rack and rack not in view.labels:
         factor *= AWAY_FACTOR
@@ -87,4 +104,4 @@
 
 def _score_parked(view: AgentView, rng: Random) -> float:
     parked = view.my_parked + view.parked_by_others + rng.random()
-    return parked * view.health.factor() / max(view.capacity.cpu, 1)
+    return parked * view.factor / max(view.capacity.cpu, 1)
--- a/src/godwitbank/_internal/models/messages.py
+++ b/src/godwitbank/_internal/models/messages.py
@@ -18,6 +18,7 @@
     Rules,
     RunBegun,
     RunOutcome,
+    RunSlow,
     StartRun,
     StopRun,
     Took,
@@ -313,6 +314,7 @@
     | RunBegun
     | Claim
     | Claimed
+    | RunSlow
 )
 
 REGISTRY: tuple[type[Message], ...] = (
@@ -350,4 +352,5 @@
     RunBegun,
     Claim,
     Claimed,
+    RunSlow,
 )
--- a/src/godwitbank/_internal/models/run_messages.py
+++ b/src/godwitbank/_internal/models/run_messages.py
@@ -33,6 +33,13 @@
     run: int
 
 
+class RunSlow(NamedTuple):
+    """A run would end sooner if it began anew where there is room for it."""
+
+    task: str
+    run: int
+
+
 class RunBegun(NamedTuple):
     """A run that had to wait for room was ordered at the endpoint."""
 
@@ -97,13 +104,16 @@
 
 
 class Pulse(NamedTuple):
-    """Proof of life; between entries it also tells the backlog.
+    """Proof of life, with what the receiver needs to know often.
 
     :param backlog: core-seconds of work that waits at the sender and must start
         within each of the horizons all entries share; empty from agents.
+    :param slowness: how many times as long runs take at the sender's endpoint as
+        was expected; 1 from entries.
     """
 
     backlog: list[float]
+    slowness: float
 
 
 class Rules(NamedTuple):
--- a/tests/core/runs/test_load.py
+++ b/tests/core/runs/test_load.py
@@ -1,6 +1,7 @@
 """What callers get under load: played without a network, in one clock."""
 
 import pytest
+from standins.leased_endpoint import Behaviour
 
 from tests.lib.runs_load import Load
 
@@ -13,7 +14,7 @@
     [
         # 63 % of the endpoints' capacity.
         (70.0, 0.98),
-        # 99 %: measured 0.93; 0.89 without the bound on all waiting work.
+        # 99 %: measured 0.93; 0.89 without the bound on waiting work.
         (110.0, 0.90),
         # 126 %: measured 0.76 with the bound, 0.57 without, and 0.58 when work
         # that was late already kept its place before all other.
@@ -45,3 +46,36 @@
     assert waits
     prompt = [wait for wait in waits if wait < 0.05]
     assert len(prompt) >= 0.95 * len(waits)
+
+
+@pytest.mark.parametrize(
+    ("per_second", "least"),
+    [
+        # 54 % of capacity: measured 0.974; 0.949 when results alone told how slow an
+        # endpoint is and slow runs were left where they were.
+        (60.0, 0.96),
+        # 68 %: 0.949 and 0.920.
+        (75.0, 0.935),
+        # 81 %: 0.880 and 0.849. Moved whether there was room or not: 0.847.
+        (90.0, 0.865),
+    ],
+)
+def test_worth_earned_while_two_endpoints_are_slow(
+    per_second: float, least: float
+) -> None:
+    # Symptom: callers wait for seconds, some until they give up. Sequence: two of
+    # eleven endpoints run five times slower for some seconds, and go on getting
+    # work. Cause: their slowness showed only in results, which came late.
+    earned = []
+    for seed in (1, 2, 3, 4):
+        load = Load(seed, entries=4)
+        load.play(per_second, 3.0)
+        slow = [load.world.endpoints[name] for name in ("agent-2", "agent-3")]
+        for endpoint in slow:
+            endpoint.behaviour = Behaviour(speed=5.0)
+        load.play(per_second, 7.0)
+        for endpoint in slow:
+            endpoint.behaviour = Behaviour()
+        load.play(per_second, 3.0)
+        earned.append(load.settle().worth)
+    assert sum(earned) / len(earned) >= least
