Call endpoints and the store by aiohttp instead of httpx

A profile of an agent under load shows 80 % of its time in httpx and httpcore (each call walks all pooled connections, URLs are parsed anew); 1.76 ms of a core a run.

Ruled out: the core (0.1 ms a run), the streams, the log; httpcore alone (0.27 ms a call against 0.44 ms).

Change: the adapter's calls go by aiohttp, whose parser is compiled: 0.08 ms a call in the same measurement (3000 calls one after the other on loopback).

--- a/src/godwitbank/_internal/platform/endpoint.py
+++ b/src/godwitbank/_internal/platform/endpoint.py
@@ -1,8 +1,8 @@
 """Calls to the endpoint on the agent's own VM."""
 
-from typing import Any
+from typing import Any, NamedTuple
 
-import httpx
+import aiohttp
 import msgspec
 
 from godwitbank._internal.core.runs.events import (
@@ -19,12 +19,11 @@
     decode_lists,
     decode_order_answer,
 )
+from godwitbank._internal.platform.client import FAILURES, make_session, make_timeout
 
 STOP_SECONDS = 0.3
 """Longest wait for an answer to an order to stop, which nobody waits for."""
 
-CONNECT_SECONDS = 0.2
-
 MAX_CONNECTIONS = 16
 """Connections to the endpoint, which takes 64."""
 
@@ -45,18 +44,18 @@
 }
 
 
+class _Response(NamedTuple):
+    """An answer that was read to its end."""
+
+    status: int
+    content: bytes
+
+
 class EndpointOrders:
     """The endpoint's orders over HTTP."""
 
     def __init__(self, address: str) -> None:
-        limits = httpx.Limits(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_CONNECTIONS,
-            keepalive_expiry=60.0,
-        )
-        self._client = httpx.AsyncClient(
-            base_url=f"http://{address}", limits=limits, trust_env=False
-        )
+        self._session = make_session(address, MAX_CONNECTIONS)
 
     async def start(self, order: Start) -> StartAnswered:
         """Order a start."""
@@ -73,12 +72,12 @@
             response = await self._post(
                 "/-/run-start", body, order.instance, order.patience
             )
-        except httpx.ConnectError:
+        except aiohttp.ClientConnectorError:
             return self._answer(order, StartVerdict.UNREACHABLE, None)
-        except httpx.HTTPError:
+        except FAILURES:
             return self._answer(order, StartVerdict.NO_ANSWER, None)
         answer = decode_order_answer(response.content)
-        return self._answer(order, _judge(response.status_code, answer), answer.clock)
+        return self._answer(order, _judge(response.status, answer), answer.clock)
 
     def _answer(
         self, order: Start, verdict: StartVerdict, clock: int | None
@@ -90,7 +89,7 @@
         body = {"task": order.task, "run": order.run, "fence-token": order.token}
         try:
             await self._post("/-/run-stop", body, order.instance, STOP_SECONDS)
-        except httpx.HTTPError:
+        except FAILURES:
             # The core sees the run still listed, and orders again.
             return
 
@@ -106,14 +105,14 @@
         seconds = order.wait / 1000 + order.patience
         try:
             response = await self._post("/-/hold", body, order.instance, seconds)
-            if response.status_code == 200:
+            if response.status == 200:
                 clock, running, ended = decode_lists(response.content)
                 return Held(order.renewal, running, ended, clock, order.instance)
-        except (httpx.HTTPError, msgspec.DecodeError):
+        except (*FAILURES, msgspec.DecodeError):
             return HoldFailed(order.renewal, HoldVerdict.NO_ANSWER, None)
         answer = decode_order_answer(response.content)
         verdict = HoldVerdict.REFUSED
-        if response.status_code == 421:
+        if response.status == 421:
             verdict = HoldVerdict.OTHER_INSTANCE
         elif answer.reason == "fence":
             verdict = HoldVerdict.FENCED
@@ -121,17 +120,17 @@
 
     async def _post(
         self, path: str, body: dict[str, Any], instance: str, seconds: float
-    ) -> httpx.Response:
+    ) -> _Response:
         headers = {"Content-Type": "application/json", "Expect-Instance": instance}
-        timeout = httpx.Timeout(seconds, connect=CONNECT_SECONDS)
         content = msgspec.json.encode(body)
-        return await self._client.post(
-            path, content=content, headers=headers, timeout=timeout
-        )
+        async with self._session.post(
+            path, data=content, headers=headers, timeout=make_timeout(seconds)
+        ) as response:
+            return _Response(response.status, await response.read())
 
     async def close(self) -> None:
         """Close connections."""
-        await self._client.aclose()
+        await self._session.close()
 
 
 def _judge(status: int, answer: OrderAnswer) -> StartVerdict:
--- a/src/godwitbank/_internal/platform/programs.py
+++ b/src/godwitbank/_internal/platform/programs.py
@@ -87,6 +87,7 @@
     await monitoring.start()
     await process.run()
     finder.cancel()
+    await store.close()
 
 
 async def _find_entries(
@@ -135,3 +136,4 @@
     server.close()
     await callers.stop()
     await process.close()
+    await store.close()
--- a/src/godwitbank/_internal/platform/store.py
+++ b/src/godwitbank/_internal/platform/store.py
@@ -4,12 +4,12 @@
 import base64
 from collections.abc import Callable
 
-import httpx
 import msgspec
 
 from godwitbank._internal.models.jobs import Configuration, EndpointReport
 from godwitbank._internal.operations.decisions import DecisionLog
 from godwitbank._internal.platform.bodies import decode_configuration
+from godwitbank._internal.platform.client import FAILURES, make_session, make_timeout
 
 WATCH_SECONDS = 20.0
 """Longest wait of one look for changes; the store allows 30 s. A connection that
@@ -22,6 +22,9 @@
 RETRY_SECONDS = 0.3
 """Pause after a call that failed."""
 
+MAX_CONNECTIONS = 4
+"""Connections to the store: one waits for changes, the others come and go."""
+
 REPORTS_TABLE = "reports"
 """Our table of the endpoints' last reports, one row a VM."""
 
@@ -50,7 +53,7 @@
         self._name = name
         self._log = log
         self._lost = False
-        self._client = httpx.AsyncClient(base_url=f"http://{address}", trust_env=False)
+        self._session = make_session(address, MAX_CONNECTIONS)
 
     async def watch_configuration(
         self, deliver: Callable[[Configuration], None]
@@ -65,7 +68,7 @@
                 if not seen:
                     seen = await self._read_configuration(deliver)
                 seen = await self._await_change(seen, deliver)
-            except (httpx.HTTPError, msgspec.DecodeError, ValueError) as error:
+            except (*FAILURES, msgspec.DecodeError, ValueError) as error:
                 seen = 0
                 await self._pause(error)
 
@@ -91,10 +94,13 @@
                 deliver(decode_configuration(row.value))
 
     async def _get(self, path: str, query: dict[str, str], seconds: float) -> _Rows:
-        response = await self._client.get(path, params=query, timeout=seconds)
-        response.raise_for_status()
+        async with self._session.get(
+            path, params=query, timeout=make_timeout(seconds)
+        ) as response:
+            response.raise_for_status()
+            content = await response.read()
         self._regain()
-        return _rows_decoder.decode(response.content)
+        return _rows_decoder.decode(content)
 
     async def register_entry(self, address: str) -> None:
         """Write where this entry's streams are, until it succeeds."""
@@ -102,7 +108,7 @@
             try:
                 await self._put(ENTRIES_TABLE, address.encode())
                 return
-            except httpx.HTTPError as error:
+            except FAILURES as error:
                 await self._pause(error)
 
     async def _put(self, table: str, value: bytes) -> None:
@@ -111,17 +117,18 @@
         row = {"table": table, "part": "", "key": self._name, "value": text}
         body = msgspec.json.encode({"expect-rev": [], "puts": [row], "remove": []})
         headers = {"Content-Type": "application/json"}
-        response = await self._client.post(
-            "/-/rows-tx", content=body, headers=headers, timeout=CALL_SECONDS
-        )
-        response.raise_for_status()
+        async with self._session.post(
+            "/-/rows-tx", data=body, headers=headers, timeout=make_timeout(CALL_SECONDS)
+        ) as response:
+            response.raise_for_status()
+            await response.read()
         self._regain()
 
     async def keep_report(self, report: EndpointReport) -> None:
         """Keep the endpoint's report; tried once, as the next may differ."""
         try:
             await self._put(REPORTS_TABLE, msgspec.json.encode(report))
-        except httpx.HTTPError as error:
+        except FAILURES as error:
             fields = {"error": type(error).__name__}
             self._log.write("report_not_kept", "", fields)
 
@@ -139,7 +146,7 @@
                 if row.key == self._name:
                     value = base64.b64decode(row.value)
                     return msgspec.json.decode(value, type=EndpointReport)
-        except (httpx.HTTPError, msgspec.DecodeError, ValueError) as error:
+        except (*FAILURES, msgspec.DecodeError, ValueError) as error:
             fields = {"error": type(error).__name__}
             self._log.write("report_not_recalled", "", fields)
         return None
@@ -152,7 +159,7 @@
                 rows = await self._get("/-/rows-get", query, CALL_SECONDS)
                 values = [base64.b64decode(row.value).decode() for row in rows.rows]
                 return tuple(values)
-            except (httpx.HTTPError, msgspec.DecodeError, ValueError) as error:
+            except (*FAILURES, msgspec.DecodeError, ValueError) as error:
                 await self._pause(error)
 
     async def _pause(self, error: Exception) -> None:
@@ -168,4 +175,4 @@
 
     async def close(self) -> None:
         """Close connections."""
-        await self._client.aclose()
+        await self._session.close()
