Test the new decisions; a slow endpoint is tried again after some seconds

Slowness fades in 2 s instead of 3 s, and one run is enough to show that a slow endpoint is well again.

--- a/src/godwitbank/_internal/core/runs/bulletins.py
+++ b/src/godwitbank/_internal/core/runs/bulletins.py
@@ -1,8 +1,8 @@
 """What an agent tells entries of its endpoint, and how often.
 
 Every start and every end changes the room. Told to each of ten entries at once it was
-most of what agents and entries did: 65 of 88 messages that an entry took for a job, with
-61 agents. An entry whose own run it concerns must know at once; others may know later.
+most of what agents and entries did: with 61 agents, 65 of 88 messages an entry took
+for a job. An entry whose own run it concerns must know at once; others may later.
 """
 
 import math
--- a/src/godwitbank/_internal/core/runs/placement.py
+++ b/src/godwitbank/_internal/core/runs/placement.py
@@ -27,8 +27,8 @@
 
 
 SAMPLE = 16
-"""Agents looked at first. Where there are more, the best of so many is hardly worse than
-the best of all, and entries that choose at the same moment choose different ones."""
+"""Agents looked at first. Where there are more, the best of so many is hardly worse
+than the best of all, and entries that choose at one moment choose different ones."""
 
 
 class Place(NamedTuple):
--- a/src/godwitbank/_internal/core/runs/progress.py
+++ b/src/godwitbank/_internal/core/runs/progress.py
@@ -25,10 +25,10 @@
 wrong by 40 % and more, for all its runs alike; the median of three is rarely wrong by
 ``SLOW_FACTOR``."""
 
-FADE_SECONDS = 3.0
+FADE_SECONDS = 2.0
 """Seconds in which a slowness that nothing confirms fades to a third. Endpoints were
 seen slow for 6 s; one that is forgotten at once gets new work after each move, which
-is then late."""
+is then late; one that is remembered for long stays idle after it is well."""
 
 SLOW_FACTOR = 2.0
 """Slowness from which runs are moved. The slowest sound kind of endpoint takes 1.3
@@ -117,7 +117,9 @@
         for job, progress, expected in samples:
             if progress.rate:
                 ratios[job].append(1 / progress.rate / max(expected, 1e-3))
-        if len(ratios) >= MIN_JOBS:
+        # A single run shows that a slow endpoint is well again: few are sent there.
+        enough = MIN_JOBS if self._measured < SLOW_FACTOR else 1
+        if len(ratios) >= enough:
             self._measured = median(median(each) for each in ratios.values())
             self._measured_at = now
 
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -234,7 +234,7 @@
     Break(
         "nobody is told what was taken",
         f"{LEASED}/handover.py",
-        "            self._send(link.stream, Took([name], [0.0], ))",
+        '            self._send(link.stream, Took([name], [0.0], ""))',
         "            pass",
         f"{RUNS}/test_failures.py::"
         "test_a_job_submitted_elsewhere_is_stopped_where_it_was",
@@ -302,6 +302,30 @@
         f"{RUNS}/test_failures.py::"
         "test_a_job_that_can_never_be_done_fails_and_ejects_nobody",
     ),
+    Break(
+        "takings of lost entries are not passed on",
+        f"{LEASED}/handover.py",
+        "        self._pass_on_taken(link.stream)\n",
+        "",
+        f"{RUNS}/test_failures.py::"
+        "test_an_entry_killed_and_back_at_once_knows_what_it_had_taken",
+    ),
+    Break(
+        "a run waits for room that is gone",
+        f"{LEASED}/agent.py",
+        "if not order.parks and not self._has_room(held):",
+        "if False:",
+        f"{RUNS}/test_failures.py::"
+        "test_two_entries_that_choose_the_same_room_find_other_room_at_once",
+    ),
+    Break(
+        "slow runs stay where they are",
+        f"{LEASED}/dispatcher.py",
+        "        if task.moves >= MAX_MOVES or",
+        "        if True or",
+        f"{RUNS}/test_failures.py::"
+        "test_runs_of_an_endpoint_that_became_slow_go_where_there_is_room",
+    ),
     Break(
         "late work keeps its place",
         f"{LEASED}/waiting.py",
--- a/tests/core/runs/test_failures.py
+++ b/tests/core/runs/test_failures.py
@@ -402,3 +402,49 @@
     assert not world.processes["entry-0"].core.dispatcher.jobs
     world.run(4.0)
     assert "completed" in world.get_ends("j1")
+
+
+def test_an_entry_killed_and_back_at_once_knows_what_it_had_taken() -> None:
+    # Symptom: a task runs on two endpoints. Sequence: an agent is killed while its
+    # run lives on under the lease; the entry is killed and back at once; the caller,
+    # whose connection had broken before, submits the job there again. Cause: peers
+    # told the new process what they had taken, not what its former self had.
+    world = make_world(entries=2, agents=2)
+    job = make_job("j1", width=12, seconds=3.0)
+    world.submit("entry-0", job)
+    world.run(0.3)
+    assert find_agents(world, "j1") == ["agent-0", "agent-1"]
+    world.kill("agent-0")
+    world.run(0.1)
+    world.kill("entry-0")
+    world.add_entry("entry-0")
+    world.run(0.3)
+    world.submit("entry-0", job)
+    world.run(9.0)
+    assert "completed" in world.get_ends("j1")
+
+
+def test_two_entries_that_choose_the_same_room_find_other_room_at_once() -> None:
+    # Symptom: a short run waits at a full endpoint while another has room. Sequence:
+    # two entries choose the same endpoint before either hears of the other's choice.
+    # Cause: the later run waited there for room.
+    world = make_world(entries=2, agents=2)
+    for entry in ("entry-0", "entry-1"):
+        world.submit(entry, make_job(f"of-{entry}", width=10, seconds=1.0))
+    world.run(0.1)
+    running = [len(endpoint.alive) for endpoint in world.endpoints.values() if endpoint]
+    assert running == [10, 10]
+
+
+def test_runs_of_an_endpoint_that_became_slow_go_where_there_is_room() -> None:
+    # Symptom: a caller waits for seconds on a task of half a second. Cause: its
+    # endpoint became slow, and nothing looked at how the run got on.
+    world = make_world(agents=3)
+    slow = world.endpoints["agent-0"]
+    assert slow is not None
+    slow.behaviour = Behaviour(speed=8.0)
+    for number in range(6):
+        world.submit("entry-0", make_job(f"j{number}", width=4, seconds=0.5))
+    world.run(2.5)
+    for number in range(6):
+        assert world.get_ends(f"j{number}") == ["completed"]
