Run the platform's programs on uvloop; tell waiting entries in one go

Change: all entries that wait are told by one timer, four or fewer at once; the two programs run on uvloop, whose loop is compiled. Streams no longer ask that a transport be of asyncio's own class.

--- a/src/godwitbank/_internal/cli/entrypoints.py
+++ b/src/godwitbank/_internal/cli/entrypoints.py
@@ -102,6 +102,8 @@
     )
 
     def main(values: flags.FlagValues, arguments: list[str]) -> Status:
+        import uvloop
+
         from godwitbank._internal.platform import programs
 
         serve = {
@@ -112,7 +114,7 @@
             raise UsageError(
                 "which program?", remedy="give 'entry' or 'agent', and nothing else"
             )
-        asyncio.run(serve[arguments[0]]())
+        uvloop.run(serve[arguments[0]]())
         return Status.SUCCESS
 
     program.run(main)
--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -575,8 +575,8 @@
         )
         free = self.shelf.free - self.shelf.parked_needs
         links = list(self.links)
-        self._bulletins.begin(len(links))
+        self._bulletins.begin(len(links), self._now)
         for link in links:
             room = Room(*free, self.shelf.parked, link.received)
-            for due in self._bulletins.list_due(link, news, room, self._now):
+            for due in self._bulletins.list_due(link, news, room):
                 self._send(link.stream, due)
--- a/src/godwitbank/_internal/core/runs/bulletins.py
+++ b/src/godwitbank/_internal/core/runs/bulletins.py
@@ -18,15 +18,19 @@
 capacity, 0.977 instead of 0.984 of the worth at 90 %."""
 
 
+FEW_ENTRIES = 4
+"""Entries that are told at once: so few messages cost no more than the wake-up that
+would send them later (0.81 against 0.92 ms of a core a run with one entry)."""
+
+
 class Told:
     """What one entry was told last."""
 
-    __slots__ = ("news", "room", "room_at")
+    __slots__ = ("news", "room")
 
     def __init__(self) -> None:
         self.news: EndpointNews | None = None
         self.room: Room | None = None
-        self.room_at = -math.inf
 
 
 class Bulletins:
@@ -34,24 +38,33 @@
 
     def __init__(self) -> None:
         self._told: dict[int, Told] = {}
+        self._all_told_at = -math.inf
+        self._all = False
         self._due_at = math.inf
-        self._pause = 0.0
+        self._next_at = math.inf
 
     def forget(self, stream: int) -> None:
         """Forget a stream that has ended."""
         self._told.pop(stream, None)
 
-    def begin(self, entries: int) -> None:
-        """Prepare for telling all entries.
+    def begin(self, entries: int, now: float) -> None:
+        """Prepare for telling entries.
+
+        All that wait are told in one go: a timer each would wake the process as often
+        as telling them at once.
 
         :param entries: how many there are.
         """
-        self._pause = PAUSE_SECONDS * entries
+        pause = PAUSE_SECONDS * entries if entries > FEW_ENTRIES else 0.0
+        due_at = self._all_told_at + pause
+        self._all = now >= due_at
         self._due_at = math.inf
+        if self._all:
+            self._all_told_at = now
+            due_at = now + pause
+        self._next_at = due_at
 
-    def list_due(
-        self, link: Link, news: EndpointNews, room: Room, now: float
-    ) -> list[Message]:
+    def list_due(self, link: Link, news: EndpointNews, room: Room) -> list[Message]:
         """List what an entry has to be told now."""
         told = self._told.setdefault(link.stream, Told())
         due: list[Message] = []
@@ -60,15 +73,14 @@
             due.append(news)
         if told.room == room:
             return due
-        seen = told.room is None or told.room.seen != room.seen
-        if not seen and now < told.room_at + self._pause:
-            self._due_at = min(self._due_at, told.room_at + self._pause)
+        own = told.room is None or told.room.seen != room.seen
+        if not own and not self._all:
+            self._due_at = self._next_at
             return due
         told.room = room
-        told.room_at = now
         due.append(room)
         return due
 
     def next_wakeup(self) -> float:
-        """Tell when an entry that was not told yet is to be told."""
+        """Tell when entries that were not told yet are to be told."""
         return self._due_at
--- a/src/godwitbank/_internal/network/streams.py
+++ b/src/godwitbank/_internal/network/streams.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, cast
 
 from godwitbank._internal.core.events import Received, StreamClosed, StreamOpened
 from godwitbank._internal.exceptions import FrameError
@@ -53,8 +53,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Greet, and wait a bounded time to be greeted."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        # Loops of other libraries have transports of their own classes.
+        self._transport = cast(asyncio.Transport, transport)
         self.register(self)
         loop = asyncio.get_running_loop()
         self._timeout = loop.call_later(GREETING_SECONDS, self._give_up_greeting)
--- a/tests/core/runs/test_bulletins.py
+++ b/tests/core/runs/test_bulletins.py
@@ -7,7 +7,7 @@
 
 NOW = 100.0
 NEWS = EndpointNews("i-1", "desk", 16000, 65536, 0, [], True, True)
-ENTRIES = 4
+ENTRIES = 10
 
 
 def make_link(stream: int = 1) -> Link:
@@ -21,44 +21,61 @@
     return Room(cpu, 65536, 0, 0, seen)
 
 
+def list_due(
+    bulletins: Bulletins, room: Room, now: float, news: EndpointNews = NEWS
+) -> list:
+    """List what the one entry is told at some moment."""
+    bulletins.begin(ENTRIES, now)
+    return bulletins.list_due(make_link(), news, room)
+
+
 def make_told(room: Room) -> Bulletins:
-    """Make bulletins whose first entry was told some room at first."""
+    """Make bulletins whose entry was told some room at first."""
     bulletins = Bulletins()
-    bulletins.begin(ENTRIES)
-    assert bulletins.list_due(make_link(), NEWS, room, NOW) == [NEWS, room]
+    assert list_due(bulletins, room, NOW) == [NEWS, room]
     return bulletins
 
 
 def test_an_entry_hears_at_once_of_its_own_starts() -> None:
     bulletins = make_told(make_room(16000))
     room = make_room(14400, seen=1)
-    bulletins.begin(ENTRIES)
-    assert bulletins.list_due(make_link(), NEWS, room, NOW + 0.001) == [room]
+    assert list_due(bulletins, room, NOW + 0.001) == [room]
 
 
 def test_other_changes_wait_and_are_told_together() -> None:
     bulletins = make_told(make_room(16000))
     pause = PAUSE_SECONDS * ENTRIES
-    bulletins.begin(ENTRIES)
-    assert bulletins.list_due(make_link(), NEWS, make_room(9000), NOW + 0.001) == []
+    assert list_due(bulletins, make_room(9000), NOW + 0.001) == []
     assert bulletins.next_wakeup() == NOW + pause
     last = make_room(8000)
-    bulletins.begin(ENTRIES)
-    assert bulletins.list_due(make_link(), NEWS, last, NOW + pause) == [last]
+    assert list_due(bulletins, last, NOW + pause) == [last]
     assert bulletins.next_wakeup() > NOW + pause
 
 
+def test_one_timer_serves_all_entries() -> None:
+    # Symptom: an agent uses twice the processor time. Cause: the pause ran for each
+    # entry by itself, so that ten of them woke the agent ten times as often.
+    bulletins = make_told(make_room(16000))
+    assert list_due(bulletins, make_room(9000, seen=1), NOW + 0.01)
+    assert list_due(bulletins, make_room(8000, seen=1), NOW + 0.011) == []
+    assert bulletins.next_wakeup() == NOW + PAUSE_SECONDS * ENTRIES
+
+
 def test_news_of_the_endpoint_never_wait() -> None:
     bulletins = make_told(make_room(16000))
     closed = NEWS._replace(open=False)
-    bulletins.begin(ENTRIES)
-    due = bulletins.list_due(make_link(), closed, make_room(9000), NOW + 0.001)
-    assert due == [closed]
+    assert list_due(bulletins, make_room(9000), NOW + 0.001, closed) == [closed]
 
 
 def test_a_new_stream_is_told_everything() -> None:
     bulletins = make_told(make_room(16000))
     bulletins.forget(1)
-    bulletins.begin(ENTRIES)
     room = make_room(16000)
-    assert bulletins.list_due(make_link(), NEWS, room, NOW) == [NEWS, room]
+    assert list_due(bulletins, room, NOW + 0.001) == [NEWS, room]
+
+
+def test_few_entries_are_told_at_once() -> None:
+    bulletins = Bulletins()
+    for cpu in (16000, 9000):
+        bulletins.begin(4, NOW)
+        assert bulletins.list_due(make_link(), NEWS, make_room(cpu))[-1].cpu == cpu
