Ignore the signal to reload until it is handled; keep the seeds that found it

Cause: seeds 118 and 119 of the soak: an entry that was killed and started again never came back. Its log ends before 'started': SIGHUP came while it imported, and without a handler it ends a process. Ruled out: the proxy and its addresses (other processes went on by them), the store.

Change: the launcher ignores the signal from its first line on; settings are read after the imports anyway. The soak spares a process whose interpreter has not read that line yet, and starts what has ended by itself before it waits.

The test fails before (the process ends) and passes now.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -4,9 +4,14 @@
 one. Usage: ``python3 deploy/launch.py entry`` or ``agent``.
 """
 
+import signal
 import sys
 from pathlib import Path
 
+# A signal that settings have changed would end a process that doesn't handle it yet,
+# and the imports take some tenths of a second; the settings are read after them.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
 from godwitbank._internal.cli.entrypoints import run_on_platform  # noqa: E402
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -35,7 +35,6 @@
     def __init__(self, fleet: SoakFleet, rng: Random) -> None:
         self._fleet = fleet
         self._rng = rng
-        self._version = 1
         self._kinds = (
             self._kill,
             self._kill,
@@ -106,7 +105,8 @@
 
     def _reload(self) -> Begun:
         name = self._rng.choice(self._fleet.entries + self._fleet.agents)
-        if self._fleet.processes[name].poll() is None:
+        running = self._fleet.processes[name].poll() is None
+        if running and not self._fleet.is_deaf_to_reloads(name):
             self._fleet.kill(name, signal.SIGHUP)
         return Begun(f"reload {name}", 0.0, _do_nothing)
 
@@ -185,7 +185,6 @@
                 {"oldest": 0},
             )
         )
-        self._version += 1
         fleet.set_store(**how)
         return Begun(f"store {how}", 3.0, self._restore_store)
 
@@ -204,5 +203,5 @@
             self._replace(f"{name}-endpoint")
         for name in fleet.entries + fleet.agents:
             fleet.pause(name, False)
-            if name in fleet.ended_at:
+            if name in fleet.ended_at or name in fleet.list_dead():
                 self._replace(name)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -151,6 +151,17 @@
 
         wait_for(is_ready, f"{entry} ready with {agents} agents")
 
+    def is_deaf_to_reloads(self, name: str) -> bool:
+        """Tell whether a signal to reload would still end a process.
+
+        So it is until the interpreter has read the program's first lines.
+        """
+        pid = self.processes[name].pid
+        status = Path(f"/proc/{pid}/status").read_text()
+        masks = dict(line.split(":", 1) for line in status.splitlines())
+        heard = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return not heard >> (signal.SIGHUP - 1) & 1
+
     def kill(self, name: str, how: int = signal.SIGKILL) -> None:
         """Send a process a signal; wait for its end if that ends it."""
         process = self.processes[name]
--- a/tests/failures/test_leaving.py
+++ b/tests/failures/test_leaving.py
@@ -19,6 +19,15 @@
 pytestmark = pytest.mark.processes
 
 
+TASKS = 48
+"""Three times as many as the two endpoints run at once, so that work is waiting."""
+
+RUN_MS = 1500
+"""Run time of a task. That all slots are taken must last long enough to be seen from
+outside: with 300 ms it was over before two endpoints had been asked, beside eight busy
+processes in one run of eight."""
+
+
 def _leave(fleet: Fleet, way: str) -> None:
     if way == "agent":
         fleet.agents[0].stop()
@@ -48,7 +57,7 @@
     Cause: leaving known at the entry only, or an exit before the answers.
     """
     start_desk(fleet, agents=2)
-    job = in_background(send_job, fleet.entries[0], make_job(80, run_ms=300))
+    job = in_background(send_job, fleet.entries[0], make_job(TASKS, run_ms=RUN_MS))
     await_running(fleet, 16)
     leaving = in_background(_leave, fleet, way)
     before = _count_starts_once_leaving(fleet)
@@ -70,7 +79,7 @@
     Cause: an agent that goes on starting tasks, or doesn't say what runs.
     """
     start_desk(fleet, agents=2)
-    job = in_background(send_job, fleet.entries[0], make_job(80, run_ms=300))
+    job = in_background(send_job, fleet.entries[0], make_job(TASKS, run_ms=RUN_MS))
     await_running(fleet, 16)
     fleet.endpoints[0].stop()
     answer = job.result(timeout=30)
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -1,13 +1,15 @@
 """The programs as separate processes against stand-ins that speak the platform."""
 
 import signal
+import subprocess
+import sys
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
 from standins.fleet import wait_for
-from standins.platform_fleet import CORES, ROUTE, PlatformFleet, make_body
+from standins.platform_fleet import CORES, ROOT, ROUTE, PlatformFleet, make_body
 
 pytestmark = pytest.mark.processes
 
@@ -180,3 +182,18 @@
         "a reload",
     )
     assert platform.submit("entry-0", f"{JOB}01").status_code == 200
+
+
+def test_a_reload_while_a_process_starts_does_not_end_it() -> None:
+    # Symptom: a process that was just started is gone. Sequence: its settings change
+    # and it gets SIGHUP while it still imports. Cause: the handler comes after the
+    # imports, and until then the signal ends a process. Found by seeds 118 and 119
+    # of the soak.
+    code = (
+        "import runpy, signal; runpy.run_path('deploy/launch.py', run_name='launch'); "
+        "signal.raise_signal(signal.SIGHUP); print('alive')"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True
+    )
+    assert done.stdout == "alive\n"
--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -7,14 +7,28 @@
 
 pytestmark = pytest.mark.processes
 
-FOUND: tuple[int, ...] = ()
+FOUND = (
+    # An entry that had just been killed and started got SIGHUP before it had a
+    # handler, and ended by that.
+    118,
+    119,
+)
 """Seeds that once broke a promise, with their cause."""
 
+FOUND_SECONDS = 10.0
 SECONDS = 6.0
 
 
-@pytest.mark.parametrize("seed", [1, *FOUND])
-def test_promises_hold_under_faults(seed: int, tmp_path: Path) -> None:
-    outcome = play(seed, SECONDS, tmp_path, entries=2, agents=2)
+def test_promises_hold_under_faults(tmp_path: Path) -> None:
+    _check(1, SECONDS, tmp_path, 2)
+
+
+@pytest.mark.parametrize("seed", FOUND)
+def test_what_was_found_stays_mended(seed: int, tmp_path: Path) -> None:
+    _check(seed, FOUND_SECONDS, tmp_path, 3)
+
+
+def _check(seed: int, seconds: float, folder: Path, size: int) -> None:
+    outcome = play(seed, seconds, folder, entries=size, agents=size)
     assert outcome.jobs
     assert outcome.faults == [], outcome.begun
