Soak: runs of a paused endpoint lapse though it is killed before it says so

Ruled out: an early restart by the entry (it waits 1.4 s). The check now ends such runs with the longest lease after the suspension; one that goes on after it is judged as before.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -96,11 +96,11 @@
             self.kill(name, how)
             # A killed process ends some time before its end is seen here.
             if how == signal.SIGKILL:
-                self.write_end(name)
+                self._write(name, "killed")
 
-    def write_end(self, name: str) -> None:
-        """Add a line to a process's log that says when it was killed."""
-        line = {"event": "killed", "at": time.monotonic()}
+    def _write(self, name: str, event: str) -> None:
+        """Add a line to a process's log that says what was done to it."""
+        line = {"event": event, "at": time.monotonic()}
         with (self.folder / f"{name}.log").open("a") as log:
             log.write(json.dumps(line) + "\n")
 
@@ -109,6 +109,7 @@
         if self.processes[name].poll() is None:
             how = signal.SIGSTOP if paused else signal.SIGCONT
             self.processes[name].send_signal(how)
+            self._write(name, "paused" if paused else "resumed")
 
     def wait_ended(self, name: str) -> None:
         """Wait for the end of a process that was asked to stop."""
--- a/soak/records.py
+++ b/soak/records.py
@@ -7,6 +7,9 @@
 
 NEVER = float("inf")
 
+LONGEST_LEASE = 1.0 / 0.98
+"""Seconds of the longest lease, on a clock that is 2 % slow."""
+
 
 class Attempt(NamedTuple):
     """One try of a caller to hand a job in.
@@ -86,6 +89,7 @@
 def _pair(endpoint: str, lines: list[dict[str, Any]]) -> list[Run]:
     runs: list[Run] = []
     open_runs: dict[tuple[str, int], Run] = {}
+    paused_at = NEVER
     for line in lines:
         if line["event"] == "began":
             run = Run(
@@ -103,9 +107,15 @@
         elif line["event"] == "ended":
             run = open_runs.pop((line["task"], line["run"]))
             runs.append(run._replace(ended=line["ended"], end=line["end"]))
+        elif line["event"] in ("paused", "resumed"):
+            paused_at = line["at"] if line["event"] == "paused" else NEVER
         elif line["event"] == "killed":
-            runs += [run._replace(ended=line["at"]) for run in open_runs.values()]
+            # A paused endpoint gets no renewal, so its runs lapse though it can't
+            # write that down before it is killed.
+            ended = min(line["at"], paused_at + LONGEST_LEASE)
+            runs += [run._replace(ended=ended) for run in open_runs.values()]
             open_runs.clear()
+            paused_at = NEVER
     return runs + list(open_runs.values())
 
 
