--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -8,8 +8,8 @@
 pytestmark = pytest.mark.processes
 
 FOUND = (
-    # An entry that had just been killed and started got SIGHUP before it had a
-    # handler, and ended by that.
+    # An entry that had just been killed and started never came back. Inferred: it got
+    # SIGHUP before it had a handler, and ended by that.
     118,
     119,
 )
