--- /dev/null
+++ b/bench/lab/__init__.py
@@ -0,0 +1,1 @@
+"""A decision lab: the real cores under load, all in one clock."""
--- a/src/godwitbank/_internal/core/runs/admission.py
+++ b/src/godwitbank/_internal/core/runs/admission.py
@@ -6,6 +6,7 @@
 
 from bisect import bisect_left
 
+from godwitbank._internal.core.runs.policy import DEFAULT, Policy
 from godwitbank._internal.core.runs.work import Job
 
 HORIZONS = (0.1, 0.2, 0.4, 0.8, 1.6, 1e9)
@@ -36,7 +37,8 @@
 class Admission:
     """Backlog of all entries, and what it means for a new job."""
 
-    def __init__(self) -> None:
+    def __init__(self, policy: Policy = DEFAULT) -> None:
+        self._policy = policy
         self._peers: dict[str, list[float]] = {}
 
     def hear(self, peer: str, backlog: list[float]) -> None:
@@ -65,6 +67,8 @@
         ahead = own[position] + others
         if ahead / capacity > TOLERANCE * slack:
             return "overload"
+        if not self._policy.drain_bound:
+            return None
         few = tasks < FEW_TASKS and others <= MAX_DRAIN * capacity / 2
         if not few and ahead > MAX_DRAIN * capacity:
             return "overload"
--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -39,6 +39,7 @@
 from godwitbank._internal.core.runs.lease import CLOCK_SKEW, LAPSE_SLACK, MAX_LEASE
 from godwitbank._internal.core.runs.links import PULSE, Link, Links
 from godwitbank._internal.core.runs.outbox import Outbox
+from godwitbank._internal.core.runs.policy import DEFAULT, Policy
 from godwitbank._internal.core.runs.progress import Sample, Slowness
 from godwitbank._internal.core.runs.verdicts import HoldVerdict, StartVerdict
 from godwitbank._internal.models.jobs import ListedEnd, ListedRun, RunEnd
@@ -83,8 +84,13 @@
     """Decides for one agent; driven by events, answers with actions."""
 
     def __init__(
-        self, identity: Identity, now: float, counts: Counts | None = None
+        self,
+        identity: Identity,
+        now: float,
+        counts: Counts | None = None,
+        policy: Policy = DEFAULT,
     ) -> None:
+        self._policy = policy
         self.identity = identity
         self.counts = Counts() if counts is None else counts
         self.links = Links(identity.address, identity.incarnation, now)
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -11,7 +11,8 @@
 from godwitbank._internal.core.runs.events import Answer, Note, RunAction
 from godwitbank._internal.core.runs.fleet import ARRIVAL_SECONDS, AgentView, Fleet
 from godwitbank._internal.core.runs.ownership import LAPSE_SECONDS
-from godwitbank._internal.core.runs.placement import choose_place
+from godwitbank._internal.core.runs.placement import Chooser, Place
+from godwitbank._internal.core.runs.policy import DEFAULT, Policy
 from godwitbank._internal.core.runs.waiting import WaitingTasks
 from godwitbank._internal.core.runs.work import Job, Task, TaskState
 from godwitbank._internal.models.jobs import JobEnd, JobResult, RunEnd
@@ -50,12 +51,20 @@
 class Dispatcher:
     """Places tasks at agents and turns their outcomes into results."""
 
-    def __init__(self, zone: str, rng: Random, counts: Counts, now: float) -> None:
+    def __init__(
+        self,
+        zone: str,
+        rng: Random,
+        counts: Counts,
+        now: float,
+        policy: Policy = DEFAULT,
+    ) -> None:
+        self._policy = policy
         self._booted_at = now
         self.jobs: dict[str, Job] = {}
         self.fleet = Fleet()
         self.estimates = Estimates()
-        self.admission = Admission()
+        self.admission = Admission(policy)
         self.ends_at = math.inf
         self._zone = zone
         self._rng = rng
@@ -79,7 +88,7 @@
         """Take a job, or refuse it at once if it can't be served in time."""
         guesses = [step.estimate for step in job.spec.steps]
         name = job.queue.name
-        job.lay_out([self.estimates.expect(name, guess) for guess in guesses])
+        job.lay_out([self._expect(name, guess) for guess in guesses])
         refusal = self._find_refusal(job)
         if refusal is not None:
             self.refuse(job, refusal)
@@ -98,6 +107,11 @@
             self._get_waiting(job).add(task)
         self.dispatch(job.queue.service)
 
+    def _expect(self, queue: str, guess: float) -> float:
+        if not self._policy.mended_estimates:
+            return guess
+        return self.estimates.expect(queue, guess)
+
     def _find_refusal(self, job: Job) -> str | None:
         if self._now + job.objective > self.ends_at:
             # This process ends before the job would.
@@ -126,7 +140,11 @@
             self._out(Answer(caller, result))
 
     def _get_waiting(self, job: Job) -> WaitingTasks:
-        return self._waiting.setdefault(job.queue.service, WaitingTasks())
+        service = job.queue.service
+        found = self._waiting.get(service)
+        if found is None:
+            found = self._waiting[service] = WaitingTasks(self._policy.late_last)
+        return found
 
     def measure_backlog(self) -> list[float]:
         """Tell the core-seconds of work that waits here, by ``HORIZONS``."""
@@ -200,7 +218,7 @@
             task = waiting.take(self._now)
             if task is None:
                 break
-            place = choose_place(task, views, self._zone, self._rng, self._now)
+            place = self._choose_place(task, views)
             if place is None:
                 unplaced.append(task)
                 continue
@@ -208,6 +226,10 @@
             self._send(task, place.view, place.parked)
         waiting.put_back(unplaced)
 
+    def _choose_place(self, task: Task, views: list[AgentView]) -> Place | None:
+        chooser = Chooser(self._zone, self._rng, self._now, self._policy)
+        return chooser.choose(task, views)
+
     def _send(self, task: Task, view: AgentView, parked: bool) -> None:
         task.state = TaskState.SENT
         task.run += 1
@@ -233,6 +255,8 @@
 
     def _rank_in(self, task: Task) -> float:
         left = task.job.rank - self._now
+        if not self._policy.late_last:
+            return left
         # Late work lets all timely work pass, at the agent too.
         return left if left >= 0 else LATE_RANK - left
 
@@ -256,11 +280,13 @@
         if task is None or task.run != message.run or task.job.ending:
             return
         service = task.job.queue.service
+        if not self._policy.moves:
+            return
         if task.moves >= MAX_MOVES or self._get_waiting(task.job).count:
             return
         task.avoid.add(view.address)
         views = [each for each in self.fleet.list_open(service) if each is not view]
-        place = choose_place(task, views, self._zone, self._rng, self._now)
+        place = self._choose_place(task, views)
         if place is None or place.parked or place.view.factor >= view.factor:
             return
         task.moves += 1
@@ -304,7 +330,9 @@
             self.estimates.observe(task.job.queue.name, elapsed)
         elif end in (RunEnd.FAILED, RunEnd.STALLED, RunEnd.UNHEALTHY):
             ejected = view.health.note_failed(task.job.spec.job, self._now)
-            if ejected:
+            if ejected and not self._policy.ejection:
+                view.health.clear()
+            elif ejected:
                 self._counts.add("ejections")
                 self._note("agent_ejected", task.name, agent=view.address, end=end)
 
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -30,6 +30,7 @@
 from godwitbank._internal.core.runs.fleet import AgentView
 from godwitbank._internal.core.runs.handover import Handover
 from godwitbank._internal.core.runs.links import PULSE, Link, Links
+from godwitbank._internal.core.runs.policy import DEFAULT, Policy
 from godwitbank._internal.core.runs.routes import RouteTable
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.jobs import (
@@ -83,12 +84,13 @@
         rng: Random,
         now: float,
         counts: Counts | None = None,
+        policy: Policy = DEFAULT,
     ) -> None:
         self.identity = identity
         self.counts = Counts() if counts is None else counts
         self.links = Links(identity.address, identity.incarnation, now)
         self.routes = RouteTable()
-        self.dispatcher = Dispatcher(identity.zone, rng, self.counts, now)
+        self.dispatcher = Dispatcher(identity.zone, rng, self.counts, now, policy)
         self.stopping = False
         self._stopped_at = 0.0
         self.handover = Handover(self.dispatcher, self.links, self.counts, now)
--- a/src/godwitbank/_internal/core/runs/placement.py
+++ b/src/godwitbank/_internal/core/runs/placement.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from godwitbank._internal.core.runs.fleet import AgentView
+from godwitbank._internal.core.runs.policy import DEFAULT, Policy
 from godwitbank._internal.core.runs.progress import SLOW_FACTOR
 from godwitbank._internal.core.runs.work import Task
 
@@ -38,51 +39,78 @@
     parked: bool
 
 
-def choose_place(
-    task: Task, views: list[AgentView], zone: str, rng: Random, now: float
-) -> Place | None:
-    """Choose the agent where a run is expected to end first.
-
-    A wait for room costs less than a run that takes several times as long, so slow
-    endpoints come last, room or not.
-    """
-    if len(views) > SAMPLE:
-        sample = rng.sample(views, SAMPLE)
-        place = _choose_of_all(sample, task, zone, rng, now)
-        if place is not None and not place.parked and place.view.factor < SLOW_FACTOR:
-            return place
-    return _choose_of_all(views, task, zone, rng, now)
-
-
-def _choose_of_all(
-    views: list[AgentView], task: Task, zone: str, rng: Random, now: float
-) -> Place | None:
-    allowed = [view for view in views if _is_allowed(view, task, now)]
-    brisk = [view for view in allowed if view.factor < SLOW_FACTOR]
-    slow = [view for view in allowed if view.factor >= SLOW_FACTOR]
-    for candidates in (brisk, slow):
-        place = _choose_among(candidates, task, zone, rng)
-        if place is not None:
-            return place
-    return None
-
-
-def _choose_among(
-    allowed: list[AgentView], task: Task, zone: str, rng: Random
-) -> Place | None:
-    untried = [view for view in allowed if view.address not in task.avoid]
-    needs = task.rules.needs
-    for candidates in (untried, allowed):
-        roomy = [view for view in candidates if needs.fits(view.free)]
-        if roomy:
-            best = min(roomy, key=lambda view: _score(view, task, zone, rng))
-            return Place(best, False)
-    for candidates in (untried, allowed):
-        short = [view for view in candidates if _may_park(view, task)]
-        if short:
-            best = min(short, key=lambda view: _score_parked(view, rng))
-            return Place(best, True)
-    return None
+class Chooser:
+    """Chooses the agent where a run is expected to end first."""
+
+    def __init__(
+        self, zone: str, rng: Random, now: float, policy: Policy = DEFAULT
+    ) -> None:
+        self._zone = zone
+        self._rng = rng
+        self._now = now
+        self._policy = policy
+
+    def choose(self, task: Task, views: list[AgentView]) -> Place | None:
+        """Choose for one task.
+
+        A wait for room costs less than a run that takes several times as long, so
+        slow endpoints come last, room or not.
+        """
+        if len(views) > SAMPLE:
+            sample = self._rng.sample(views, SAMPLE)
+            place = self._choose_of_all(sample, task)
+            if place is not None and not place.parked and not _is_slow(place.view):
+                return place
+        return self._choose_of_all(views, task)
+
+    def _choose_of_all(self, views: list[AgentView], task: Task) -> Place | None:
+        allowed = [view for view in views if _is_allowed(view, task, self._now)]
+        if not self._policy.slow_last:
+            return self._choose_among(allowed, task)
+        brisk = [view for view in allowed if not _is_slow(view)]
+        slow = [view for view in allowed if _is_slow(view)]
+        for candidates in (brisk, slow):
+            place = self._choose_among(candidates, task)
+            if place is not None:
+                return place
+        return None
+
+    def _choose_among(self, allowed: list[AgentView], task: Task) -> Place | None:
+        untried = [view for view in allowed if view.address not in task.avoid]
+        needs = task.rules.needs
+        for candidates in (untried, allowed):
+            roomy = [view for view in candidates if needs.fits(view.free)]
+            if roomy:
+                return Place(
+                    min(roomy, key=lambda view: self._score(view, task)), False
+                )
+        if not self._policy.parking:
+            return None
+        for candidates in (untried, allowed):
+            short = [view for view in candidates if _may_park(view, task)]
+            if short:
+                return Place(min(short, key=self._score_parked), True)
+        return None
+
+    def _score(self, view: AgentView, task: Task) -> float:
+        factor = view.factor
+        rack = task.rules.rack
+        if rack and rack not in view.labels:
+            factor *= AWAY_FACTOR
+        if self._policy.fullness:
+            used = 1 - view.free.cpu / max(view.capacity.cpu, 1)
+            factor *= 1 + FULL_PENALTY * used
+        if view.zone != self._zone:
+            factor *= 1 + FAR_PENALTY
+        return factor * (1 + 0.02 * self._rng.random())
+
+    def _score_parked(self, view: AgentView) -> float:
+        parked = view.my_parked + view.parked_by_others + self._rng.random()
+        return parked * view.factor / max(view.capacity.cpu, 1)
+
+
+def _is_slow(view: AgentView) -> bool:
+    return view.factor >= SLOW_FACTOR
 
 
 def _is_allowed(view: AgentView, task: Task, now: float) -> bool:
@@ -96,18 +124,6 @@
     return view.health.allows(len(view.tasks), now)
 
 
-def _score(view: AgentView, task: Task, zone: str, rng: Random) -> float:
-    factor = view.factor
-    rack = task.rules.rack
-    if rack and rack not in view.labels:
-        factor *= AWAY_FACTOR
-    used = 1 - view.free.cpu / max(view.capacity.cpu, 1)
-    factor *= 1 + FULL_PENALTY * used
-    if view.zone != zone:
-        factor *= 1 + FAR_PENALTY
-    return factor * (1 + 0.02 * rng.random())
-
-
 def _may_park(view: AgentView, task: Task) -> bool:
     if view.my_parked < PARKED_PER_ENTRY:
         return True
@@ -116,8 +132,3 @@
         for other in view.tasks.values()
     )
     return more_urgent < PARKED_PER_ENTRY
-
-
-def _score_parked(view: AgentView, rng: Random) -> float:
-    parked = view.my_parked + view.parked_by_others + rng.random()
-    return parked * view.factor / max(view.capacity.cpu, 1)
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/policy.py
@@ -0,0 +1,38 @@
+"""Which mechanisms the cores use, so that each can be tried without the others.
+
+Operators don't set this: what is on by default is what measured best. The decision lab
+(``bench/lab``) switches mechanisms off one by one to tell what each is worth.
+"""
+
+from typing import NamedTuple
+
+
+class Policy(NamedTuple):
+    """The mechanisms, each on by default."""
+
+    moves: bool = True
+    """Move runs off slow endpoints."""
+
+    ejection: bool = True
+    """Give no work to endpoints that fail what they start."""
+
+    parking: bool = True
+    """Let runs wait at agents, to hide the way there."""
+
+    late_last: bool = True
+    """Let late work wait behind all timely work."""
+
+    mended_estimates: bool = True
+    """Mend callers' guesses by the run times that were observed."""
+
+    fullness: bool = True
+    """Prefer emptier endpoints, as other entries place at the same moment."""
+
+    slow_last: bool = True
+    """Use slow endpoints only when no other has room, now or soon."""
+
+    drain_bound: bool = True
+    """Refuse while more waits than drains in ``MAX_DRAIN``."""
+
+
+DEFAULT = Policy()
--- a/src/godwitbank/_internal/core/runs/waiting.py
+++ b/src/godwitbank/_internal/core/runs/waiting.py
@@ -22,7 +22,8 @@
 class WaitingTasks:
     """Waiting tasks of one service."""
 
-    def __init__(self) -> None:
+    def __init__(self, late_last: bool = True) -> None:
+        self._late_last = late_last
         self._timely: list[Entry] = []
         self._late: list[Entry] = []
         self._sequence = 0
@@ -49,7 +50,7 @@
             entry = heapq.heappop(self._timely)
             if entry.task.state is not TaskState.WAITING:
                 continue
-            if entry.rank >= now:
+            if entry.rank >= now or not self._late_last:
                 return entry.task
             heapq.heappush(self._late, entry)
         while self._late:
--- a/tests/lib/runs_world.py
+++ b/tests/lib/runs_world.py
@@ -44,6 +44,7 @@
     StartAnswered,
     Stop,
 )
+from godwitbank._internal.core.runs.policy import DEFAULT, Policy
 from godwitbank._internal.core.runs.verdicts import HoldVerdict, StartVerdict
 from godwitbank._internal.models.jobs import (
     Configuration,
@@ -111,7 +112,13 @@
 class RunsWorld:
     """A deployment in one clock."""
 
-    def __init__(self, seed: int = 0, config: Configuration | None = None) -> None:
+    def __init__(
+        self,
+        seed: int = 0,
+        config: Configuration | None = None,
+        policy: Policy = DEFAULT,
+    ) -> None:
+        self.policy = policy
         self.now = 100.0
         self.rng = Random(seed)
         self.processes: dict[str, Process] = {}
@@ -140,7 +147,8 @@
     def add_entry(self, name: str) -> Process:
         """Start an entry."""
         identity = Identity(name, f"{name}#{next(self._sequence)}", name, "zone-1")
-        core = RunEntryCore(identity, Random(self.rng.random()), self.now)
+        rng = Random(self.rng.random())
+        core = RunEntryCore(identity, rng, self.now, policy=self.policy)
         process = self.processes[name] = Process(self, name, core)
         process.give(ConfigurationRead(self.configuration))
         others = [each.name for each in self._list(RunEntryCore)]
@@ -150,7 +158,9 @@
     def add_agent(self, name: str, capacity: Resources = CAPACITY) -> Process:
         """Start an agent, and its endpoint if there is none."""
         identity = Identity(name, f"{name}#{next(self._sequence)}", name, "zone-1")
-        process = Process(self, name, RunAgentCore(identity, self.now))
+        process = Process(
+            self, name, RunAgentCore(identity, self.now, policy=self.policy)
+        )
         self.processes[name] = process
         entries = [each.name for each in self._list(RunEntryCore)]
         process.give(AddressesRead(tuple(entries)))
