--- a/src/godwitbank/_internal/core/runs/admission.py
+++ b/src/godwitbank/_internal/core/runs/admission.py
@@ -65,12 +65,12 @@
         position = bisect_left(HORIZONS, slack)
         others = sum(backlog[position] for backlog in self._peers.values())
         ahead = own[position] + others
-        if ahead / capacity > TOLERANCE * slack:
+        if ahead / capacity > self._policy.tolerance * slack:
             return "overload"
         if not self._policy.drain_bound:
             return None
-        few = tasks < FEW_TASKS and others <= MAX_DRAIN * capacity / 2
-        if not few and ahead > MAX_DRAIN * capacity:
+        few = tasks < FEW_TASKS and others <= self._policy.max_drain * capacity / 2
+        if not few and ahead > self._policy.max_drain * capacity:
             return "overload"
         return None
 
--- a/src/godwitbank/_internal/core/runs/policy.py
+++ b/src/godwitbank/_internal/core/runs/policy.py
@@ -31,6 +31,8 @@
     slow_last: bool = True
     """Use slow endpoints only when no other has room, now or soon."""
 
+    max_drain: float = 0.01
+    tolerance: float = 1.0
     drain_bound: bool = True
     """Refuse while more waits than drains in ``MAX_DRAIN``."""
 
