Let tasks wait at their entry, not at endpoints; wait for brisk ones

Cause: under load each task that found no room was bound to one endpoint. A job's last task then waited for the slowest of eight, and room too small for the task that waited there stood idle; admission did not count what waited at agents at all. A task also went to an endpoint known to be slow as soon as the brisk ones were full, though it could not end in time there.

Change: a task waits at its entry, unless eight smaller ones went past it; MAX_DRAIN is 0.05 s instead of 0.01 s, now that all that waits is counted; a slow endpoint gets a task while others are full only if it still ends in time.

--- a/bench/lab/scenario.py
+++ b/bench/lab/scenario.py
@@ -55,6 +55,8 @@
     """One deployment, its demand and its faults.
 
     :param load: demand as a share of the endpoints' capacity.
+    :param cpu: mean thousandths of a core of a task.
+    :param cpu_spread: half width of a job's own figure round that mean, as a share.
     :param guess_error: spread of the callers' guesses, as a logarithm.
     :param impatient: share of the callers that leave early, and after what share of
         their objective.
@@ -68,6 +70,7 @@
     sizes: tuple[float, ...]
     speeds: tuple[float, ...]
     cpu: int
+    cpu_spread: float
     stretch: float
     allowance: float
     guess_error: float
--- a/src/godwitbank/_internal/core/runs/admission.py
+++ b/src/godwitbank/_internal/core/runs/admission.py
@@ -18,15 +18,15 @@
 TOLERANCE = 1.0
 """Multiple of a job's slack that its expected wait may reach."""
 
-MAX_DRAIN = 0.01
+MAX_DRAIN = 0.05
 """Seconds all endpoints may need for what waits and must start before a new job.
 
 Above it more arrives than can be served. What is taken then makes something else
 late: a long job that may wait a second is overtaken for longer than that. Less urgent
-work doesn't count: it lets the new job pass. Played load at 95, 108 and 126 % of
-capacity earned 0.950, 0.872 and 0.732 of the worth with 0.02 s of all that waits, and
-0.945, 0.872 and 0.746 with this; the worst-served queue 0.931, 0.828 and 0.657, and
-0.927, 0.863 and 0.705.
+work doesn't count: it lets the new job pass. Played in the lab (4 seeds, endpoints of
+two sizes and speeds): at 100, 130 % of capacity and in a surge with slow endpoints
+0.878, 0.714 and 0.632 of the worth with 0.03, and 0.888, 0.709 and 0.622 with this,
+which refuses a fifth less and hardly anything while a quarter of the room is idle.
 """
 
 FEW_TASKS = 2
@@ -65,12 +65,12 @@
         position = bisect_left(HORIZONS, slack)
         others = sum(backlog[position] for backlog in self._peers.values())
         ahead = own[position] + others
-        if ahead / capacity > self._policy.tolerance * slack:
+        if ahead / capacity > TOLERANCE * slack:
             return "overload"
         if not self._policy.drain_bound:
             return None
-        few = tasks < FEW_TASKS and others <= self._policy.max_drain * capacity / 2
-        if not few and ahead > self._policy.max_drain * capacity:
+        few = tasks < FEW_TASKS and others <= MAX_DRAIN * capacity / 2
+        if not few and ahead > MAX_DRAIN * capacity:
             return "overload"
         return None
 
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -223,6 +223,8 @@
                 unplaced.append(task)
                 continue
             waiting.drop()
+            for passed in unplaced:
+                passed.passed_over += 1
             self._send(task, place.view, place.parked)
         waiting.put_back(unplaced)
 
--- a/src/godwitbank/_internal/core/runs/placement.py
+++ b/src/godwitbank/_internal/core/runs/placement.py
@@ -9,11 +9,17 @@
 from godwitbank._internal.core.runs.work import Task
 
 PARKED_PER_ENTRY = 1
-"""Runs an entry may leave waiting at one agent.
+"""Runs an entry may leave waiting at one agent; all room there is kept for them."""
 
-One hides the round trip between a run's end and the next start; more would tie
-work to an agent while another has room.
-"""
+MAX_PASSED_OVER = 8
+"""Smaller tasks that go before one that finds no room; then it waits at an agent, which
+keeps for it what becomes free there. A large task would starve otherwise.
+
+No other task waits at an agent: bound to one, a job's last task waits for the slowest,
+and room that is too small for it stays idle. In the lab (4 seeds) at 100 and 130 % of
+capacity and in a surge: 0.877, 0.714, 0.621 of the worth instead of 0.855, 0.669 and
+0.573 with one waiting an entry and agent. It costs the way from entry to agent for each
+start: where all tasks need the same, 0.915 instead of 0.921 at 99 % of capacity."""
 
 AWAY_FACTOR = 1.5
 """How much longer a run takes away from its data (platform's figure)."""
@@ -69,11 +75,17 @@
             return self._choose_among(allowed, task)
         brisk = [view for view in allowed if not _is_slow(view)]
         slow = [view for view in allowed if _is_slow(view)]
-        for candidates in (brisk, slow):
-            place = self._choose_among(candidates, task)
-            if place is not None:
-                return place
-        return None
+        place = self._choose_among(brisk, task)
+        if place is not None:
+            return place
+        if brisk and self._policy.wait_for_brisk:
+            slow = [view for view in slow if self._ends_in_time(view, task)]
+        return self._choose_among(slow, task)
+
+    def _ends_in_time(self, view: AgentView, task: Task) -> bool:
+        job = task.job
+        end = self._now + view.factor * task.expected
+        return end <= job.arrival + job.objective
 
     def _choose_among(self, allowed: list[AgentView], task: Task) -> Place | None:
         untried = [view for view in allowed if view.address not in task.avoid]
@@ -84,7 +96,7 @@
                 return Place(
                     min(roomy, key=lambda view: self._score(view, task)), False
                 )
-        if not self._policy.parking:
+        if not self._should_park(task):
             return None
         for candidates in (untried, allowed):
             short = [view for view in candidates if _may_park(view, task)]
@@ -92,6 +104,9 @@
                 return Place(min(short, key=self._score_parked), True)
         return None
 
+    def _should_park(self, task: Task) -> bool:
+        return task.passed_over >= MAX_PASSED_OVER and self._policy.parking
+
     def _score(self, view: AgentView, task: Task) -> float:
         factor = view.factor
         rack = task.rules.rack
--- a/src/godwitbank/_internal/core/runs/policy.py
+++ b/src/godwitbank/_internal/core/runs/policy.py
@@ -17,7 +17,7 @@
     """Give no work to endpoints that fail what they start."""
 
     parking: bool = True
-    """Let runs wait at agents, to hide the way there."""
+    """Let a task that smaller ones have passed wait at one agent for room."""
 
     late_last: bool = True
     """Let late work wait behind all timely work."""
@@ -28,11 +28,12 @@
     fullness: bool = True
     """Prefer emptier endpoints, as other entries place at the same moment."""
 
+    wait_for_brisk: bool = True
+    """Let a task wait where a slow endpoint has room but would end it too late."""
+
     slow_last: bool = True
     """Use slow endpoints only when no other has room, now or soon."""
 
-    max_drain: float = 0.01
-    tolerance: float = 1.0
     drain_bound: bool = True
     """Refuse while more waits than drains in ``MAX_DRAIN``."""
 
--- a/src/godwitbank/_internal/core/runs/work.py
+++ b/src/godwitbank/_internal/core/runs/work.py
@@ -36,6 +36,7 @@
         "free_at",
         "sent_at",
         "moves",
+        "passed_over",
     )
 
     def __init__(self, job: "Job", step: int, index: int, expected: float) -> None:
@@ -53,6 +54,7 @@
         self.free_at = 0.0
         self.sent_at = 0.0
         self.moves = 0
+        self.passed_over = 0
 
     @property
     def rules(self) -> StepSpec:
--- a/tests/core/runs/test_load.py
+++ b/tests/core/runs/test_load.py
@@ -3,6 +3,8 @@
 import pytest
 from standins.leased_endpoint import Behaviour
 
+from godwitbank._internal.models.jobs import JobSpec, StepSpec
+from godwitbank._internal.models.resources import Resources
 from tests.lib.runs_load import Load
 
 SECONDS = 12.0
@@ -79,3 +81,28 @@
         load.play(per_second, 3.0)
         earned.append(load.settle().worth)
     assert sum(earned) / len(earned) >= least
+
+
+def test_a_large_task_is_not_starved_by_small_ones() -> None:
+    # Symptom: a job whose task needs a whole endpoint never begins while there is
+    # other work. Sequence: small tasks take each bit of room as it becomes free.
+    # Cause: nothing kept room for a task that needs much of it.
+    load = Load(seed=3)
+    load.play(90.0, 1.0)
+    step = StepSpec(1, Resources(16000, 64, 0), 0.3)
+    load.world.submit("entry-0", JobSpec("large", "middling", "0.3", (step,)))
+    load.play(90.0, 4.0)
+    assert [str(r.end) for r in load.world.results["large"]] == ["completed"]
+
+
+def test_tasks_wait_where_any_room_reaches_them() -> None:
+    # Symptom: jobs that were taken end late although others are refused. Sequence:
+    # all endpoints are busy; each task of a job waits at one of them, and the last
+    # of eight waits for the slowest. Cause: tasks were bound to an endpoint before it
+    # had room. Played load at 126 % of capacity, late among all: 0.17, now 0.03.
+    late = []
+    for seed in SEEDS:
+        load = Load(seed)
+        load.play(140.0, SECONDS)
+        late.append(load.settle().late)
+    assert sum(late) / len(late) < 0.10
