Let less wait before a large job of a queue than before a small one

Change: the limit on what may wait shrinks with the square root of a job's work against its queue's mean, as observed.

--- a/src/godwitbank/_internal/core/runs/admission.py
+++ b/src/godwitbank/_internal/core/runs/admission.py
@@ -29,6 +29,25 @@
 which refuses a fifth less and hardly anything while a quarter of the room is idle.
 """
 
+SIZE_EXPONENT = 0.5
+"""Power of a job's size, against its queue's mean, by which ``MAX_DRAIN`` shrinks.
+
+While not all can be served, the room of one large job serves several small ones. In the
+lab (4 seeds) at 130 % of capacity and in a surge 0.728 and 0.634 of the worth instead
+of 0.713 and 0.620, and 0.178 and 0.233 of the jobs refused instead of 0.238 and 0.274;
+at 100 % no difference. A power of 1 earns 0.735 and 0.645, but a job of four times the
+mean gets a quarter of the limit, and at 100 % the worst-served queue falls from 0.836
+to 0.811."""
+
+MAX_SIZE_FACTOR = 2.0
+"""Largest multiple of ``MAX_DRAIN``, for jobs a quarter of the mean or smaller."""
+
+WORK_WEIGHT = 0.02
+"""Weight of the newest job in its queue's mean work: some fifty jobs count."""
+
+MIN_WORK = 1e-3
+"""Core-seconds that a job counts for at least."""
+
 FEW_TASKS = 2
 """Tasks that may wait at an entry whatever ``MAX_DRAIN`` says: where there are few
 endpoints, a single task takes them longer."""
@@ -39,6 +58,7 @@
 
     def __init__(self, policy: Policy = DEFAULT) -> None:
         self._policy = policy
+        self._mean_work: dict[str, float] = {}
         self._peers: dict[str, list[float]] = {}
 
     def hear(self, peer: str, backlog: list[float]) -> None:
@@ -69,11 +89,21 @@
             return "overload"
         if not self._policy.drain_bound:
             return None
-        few = tasks < FEW_TASKS and others <= MAX_DRAIN * capacity / 2
-        if not few and ahead > MAX_DRAIN * capacity:
+        limit = MAX_DRAIN * self._weigh_size(job)
+        few = tasks < FEW_TASKS and others <= limit * capacity / 2
+        if not few and ahead > limit * capacity:
             return "overload"
         return None
 
+    def _weigh_size(self, job: Job) -> float:
+        """Tell what multiple of ``MAX_DRAIN`` may wait before a job of this size."""
+        if not self._policy.small_first:
+            return 1.0
+        name, work = job.queue.name, max(job.work, MIN_WORK)
+        mean = self._mean_work.get(name, work)
+        self._mean_work[name] = mean + WORK_WEIGHT * (work - mean)
+        return min(MAX_SIZE_FACTOR, (mean / work) ** SIZE_EXPONENT)
+
     def is_hopeless(self, job: Job, now: float) -> bool:
         """Tell whether a job that hasn't begun can't end in time any more."""
         chain = job.objective - (job.rank - job.arrival)
--- a/src/godwitbank/_internal/core/runs/policy.py
+++ b/src/godwitbank/_internal/core/runs/policy.py
@@ -37,6 +37,9 @@
     arrival_bound: bool = True
     """While no endpoint is there, take only jobs that can wait for one."""
 
+    small_first: bool = True
+    """Let less wait before a large job of a queue than before a small one."""
+
     drain_bound: bool = True
     """Refuse while more waits than drains in ``MAX_DRAIN``."""
 
