--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/runner.py
@@ -0,0 +1,383 @@
+"""The runs that one agent holds: orders to the endpoint, what it lists, outcomes.
+
+Only the agent knows what room an endpoint has: what it started, what it stopped
+and has not seen end, and what an unanswered order may still start.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from godwitbank._internal.core.counters import Counts
+from godwitbank._internal.core.events import Send
+from godwitbank._internal.core.runs.claims import Claims
+from godwitbank._internal.core.runs.endpoint import Endpoint, Unknown
+from godwitbank._internal.core.runs.events import (
+    Held,
+    HoldFailed,
+    Note,
+    RunAction,
+    StartAnswered,
+)
+from godwitbank._internal.core.runs.held import HeldRun, RunState, Shelf
+from godwitbank._internal.core.runs.lease import CLOCK_SKEW, LAPSE_SLACK, MAX_LEASE
+from godwitbank._internal.core.runs.links import Link, Links
+from godwitbank._internal.core.runs.outbox import Outbox
+from godwitbank._internal.core.runs.progress import Sample, Slowness
+from godwitbank._internal.core.runs.verdicts import HoldVerdict, StartVerdict
+from godwitbank._internal.models.jobs import ListedEnd, ListedRun, RunEnd
+from godwitbank._internal.models.messages import Message
+from godwitbank._internal.models.run_messages import (
+    Claim,
+    Claimed,
+    RunBegun,
+    RunOutcome,
+    RunSlow,
+    StartRun,
+    StopRun,
+)
+
+REMEMBERED_RUNS = 512
+"""Ended runs that are remembered: answers to renewals may overtake each other,
+and an older one still lists as running what a newer one told as ended."""
+
+STOP_RETRY = 0.3
+"""Seconds after which a stop whose end wasn't listed is ordered again."""
+
+_UNSTARTED = {
+    StartVerdict.SUPERSEDED: RunEnd.SUPERSEDED,
+    StartVerdict.NO_ROOM: RunEnd.NOT_STARTED,
+    StartVerdict.INVALID: RunEnd.INVALID,
+    StartVerdict.UNHEALTHY: RunEnd.UNHEALTHY,
+    StartVerdict.UNREACHABLE: RunEnd.UNHEALTHY,
+}
+
+
+class Runner:
+    """Decides about the runs of one agent."""
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        links: Links,
+        counts: Counts,
+        now: float,
+        lose_endpoint: Callable[[str], None],
+    ) -> None:
+        self.shelf = Shelf()
+        self.slowness = Slowness(now)
+        self.outbox = Outbox()
+        self.stopping = False
+        self._endpoint = endpoint
+        self._links = links
+        self._counts = counts
+        self._lose_endpoint = lose_endpoint
+        self._booted_at = now
+        self._claims = Claims()
+        self._settled: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._now = now
+        self._out: list[RunAction] = []
+
+    def begin(self, now: float, out: list[RunAction]) -> None:
+        """Prepare for one event."""
+        self._now = now
+        self._out = out
+
+    @property
+    def open(self) -> bool:
+        """Whether new runs are taken."""
+        return self._endpoint.open and not self.stopping
+
+    def list_owned(self, owner: str) -> list[str]:
+        """List the tasks of which a run of an entry is held."""
+        return [
+            held.order.task for held in self.shelf.runs.values() if held.owner == owner
+        ]
+
+    def _note(self, event: str, request: str = "", **fields: object) -> None:
+        self._out.append(Note(event, request, fields))
+
+    def _send(self, stream: int, message: Message) -> None:
+        self._out.append(Send(stream, message))
+
+    def stop_owned(self, owner: str) -> None:
+        """Stop the runs of an entry that can't be reached any more."""
+        # The entry may be dead, and its callers submit again elsewhere: what
+        # still ran here would run twice at the same time.
+        for held in list(self.shelf.runs.values()):
+            if held.owner == owner:
+                self._end_by_order(held, "entry_lost")
+
+    def _end_by_order(self, held: HeldRun, reason: str) -> None:
+        if held.state is RunState.PARKED:
+            taken = reason == RunEnd.TAKEN_OVER
+            self._settle(held, RunEnd.TAKEN_OVER if taken else RunEnd.NOT_STARTED)
+            return
+        if held.stop_reason:
+            return
+        held.stop_reason = reason
+        held.stopped_at = self._now
+        self._counts.add("stops_ordered", reason)
+        self._note("stop_ordered", held.order.task, run=held.order.run, reason=reason)
+        if held.state is RunState.RUNNING:
+            held.state = RunState.STOPPING
+        self._out.append(self._endpoint.make_stop(held.order.task, held.order.run))
+
+    def start(self, link: Link, order: StartRun) -> None:
+        """Take an order to start a run, or tell at once why not."""
+        link.received += 1
+        held = HeldRun(order, link.hello.incarnation, self._now)
+        present = self.shelf.runs.get(order.task)
+        if present is not None:
+            if present.order.run != order.run or present.owner != held.owner:
+                # Another run of the task may still be alive here.
+                self._tell_outcome(held, RunEnd.NOT_STARTED)
+            return
+        if not self._claims.allows(held.job, held.owner):
+            self._tell_outcome(held, RunEnd.TAKEN_OVER)
+            return
+        if not self.open:
+            self._tell_outcome(held, RunEnd.CLOSED)
+            return
+        if not held.needs.fits(self.shelf.capacity):
+            self._tell_outcome(held, RunEnd.INVALID)
+            return
+        if not order.parks and not self._has_room(held):
+            # Two entries chose this agent for the same room.
+            self._tell_outcome(held, RunEnd.NOT_STARTED)
+            return
+        self.shelf.park(held)
+
+    def _has_room(self, held: HeldRun) -> bool:
+        return held.needs.fits(self.shelf.free - self.shelf.parked_needs)
+
+    def start_parked(self) -> None:
+        """Order what waits here, as far as there is room."""
+        if not self.open:
+            return
+        while self.shelf.parked:
+            held = self.shelf.choose()
+            if held is None:
+                return
+            self.shelf.occupy(held)
+            self._order(held)
+
+    def _order(self, held: HeldRun) -> None:
+        held.state = RunState.ORDERED
+        held.ordered_at = self._now
+        held.progress.restart(self._now)
+        action = self._endpoint.make_start(held.order, self._now)
+        held.token = action.token
+        self._counts.add("starts_ordered")
+        waited = round(self._now - held.arrived_at, 4)
+        link = self._links.find(held.owner)
+        if link is not None and waited > 0:
+            self._send(link.stream, RunBegun(held.order.task, held.order.run))
+        self._note("start_ordered", held.order.task, run=held.order.run, waited=waited)
+        self._out.append(action)
+
+    def stop_run(self, link: Link, stop: StopRun) -> None:
+        """Stop a run for the entry that ordered it."""
+        held = self.shelf.runs.get(stop.task)
+        if held is None or held.order.run != stop.run:
+            return
+        if held.owner == link.hello.incarnation:
+            self._end_by_order(held, "entry")
+
+    def claim(self, link: Link, claim: Claim) -> None:
+        """Stop others' runs of a job whose caller came to the sender."""
+        self._claims.add(claim.job, link.hello.incarnation, link.stream, self._now)
+        for held in self._list_others(claim.job):
+            self._end_by_order(held, RunEnd.TAKEN_OVER)
+
+    def _list_others(self, job: str) -> list[HeldRun]:
+        return [
+            held
+            for held in self.shelf.runs.values()
+            if held.job == job and not self._claims.allows(job, held.owner)
+        ]
+
+    def answer_claims(self) -> None:
+        """Answer the claims of which nothing runs here any more."""
+        longest = MAX_LEASE / (1 - CLOCK_SKEW) + LAPSE_SLACK
+        lapsed = self._now - self._booted_at > longest
+        if not self._endpoint.settled and not lapsed:
+            # What a former agent started may still run.
+            return
+        for job in self._claims.list_unanswered():
+            if not self._list_others(job):
+                self._send(self._claims.answer(job), Claimed(job))
+
+    def hear_start(self, event: StartAnswered) -> None:
+        """Take the endpoint's answer to an order to start."""
+        self._endpoint.clock.hear(event.clock, self._now)
+        held = self.shelf.runs.get(event.task)
+        if held is None or held.order.run != event.run or held.token != event.token:
+            return
+        if held.state is not RunState.ORDERED:
+            return
+        self._counts.add("starts_answered", event.verdict)
+        self._endpoint.hear_answer(self._now - held.ordered_at)
+        verdict = StartVerdict(event.verdict)
+        if verdict is StartVerdict.STARTED:
+            held.state = RunState.STOPPING if held.stop_reason else RunState.RUNNING
+            held.confirmed_at = self._now
+        elif verdict is StartVerdict.NO_ANSWER:
+            self._doubt(held)
+        elif verdict is StartVerdict.OTHER_INSTANCE:
+            self._lose_endpoint("other_instance")
+        elif verdict in (StartVerdict.FENCED, StartVerdict.LAPSED):
+            self._order_again(held, verdict)
+        else:
+            self._note("start_refused", held.order.task, verdict=event.verdict)
+            self._settle(held, _UNSTARTED[verdict])
+
+    def _order_again(self, held: HeldRun, verdict: StartVerdict) -> None:
+        if held.stop_reason:
+            self._settle(held, RunEnd.NOT_STARTED)
+            return
+        if verdict is StartVerdict.FENCED and held.token >= self._endpoint.token:
+            self._endpoint.raise_token(self._now)
+        self._order(held)
+
+    def _doubt(self, held: HeldRun) -> None:
+        # The order may be carried out seconds later. With a higher token known
+        # to the endpoint it can't be any more; until then its room stays taken.
+        held.state = RunState.DOUBTFUL
+        if held.token >= self._endpoint.token:
+            self._endpoint.raise_token(self._now)
+        self._note("start_unanswered", held.order.task, run=held.order.run)
+
+    def hear_hold(self, event: Held) -> None:
+        """Take what the endpoint lists."""
+        renewal = self._endpoint.take_renewal(event.renewal)
+        if renewal is None or event.instance not in ("", self._endpoint.instance):
+            return
+        self._endpoint.clock.hear(event.clock, self._now)
+        self._disprove_successor(event.renewal)
+        self._endpoint.hear_hold(renewal)
+        for end in event.ended:
+            self._hear_end(end)
+        listed = {each.task: each for each in event.running}
+        self._hear_progress(listed)
+        for held in self.shelf.list_placed():
+            row = listed.pop(held.order.task, None)
+            if row is not None and row.run == held.order.run:
+                self._see_running(held)
+            elif self._is_gone(held, renewal.token, renewal.issued_at):
+                self._settle_absent(held)
+        strangers = [
+            Unknown(row.task, row.run)
+            for row in listed.values()
+            if (row.task, row.run) not in self._settled
+        ]
+        self._out += self._endpoint.deal_with_strangers(strangers, self._now)
+
+    def _hear_progress(self, listed: dict[str, ListedRun]) -> None:
+        samples = []
+        for held in self.shelf.list_placed():
+            row = listed.get(held.order.task)
+            if row is not None and row.run == held.order.run:
+                held.progress.hear(row.percent, self._now)
+                expected = held.order.expected
+                samples.append(Sample(held.job, held.progress, expected))
+        self.slowness.hear(samples, self._now)
+
+    def _is_gone(self, held: HeldRun, token: int, issued_at: float) -> bool:
+        if held.state is RunState.DOUBTFUL:
+            return token > held.token
+        return held.confirmed_at < issued_at
+
+    def _settle_absent(self, held: HeldRun) -> None:
+        started = held.state is not RunState.DOUBTFUL
+        self._note("run_absent", held.order.task, run=held.order.run, started=started)
+        self._settle(held, RunEnd.LOST if started else RunEnd.NOT_STARTED)
+
+    def _see_running(self, held: HeldRun) -> None:
+        if held.state in (RunState.ORDERED, RunState.DOUBTFUL):
+            held.state = RunState.STOPPING if held.stop_reason else RunState.RUNNING
+            held.confirmed_at = min(held.confirmed_at, self._now)
+        if held.stop_reason and self._now - held.stopped_at > STOP_RETRY:
+            held.stopped_at = self._now
+            self._out.append(self._endpoint.make_stop(held.order.task, held.order.run))
+        elif not held.stop_reason:
+            self._stop_if_hopeless(held)
+
+    def _stop_if_hopeless(self, held: HeldRun) -> None:
+        slowness = self.slowness.read(self._now)
+        if held.progress.is_stalled(held.order.expected, self._now):
+            self._end_by_order(held, RunEnd.STALLED)
+        elif held.progress.should_tell_slow(slowness, self._now):
+            link = self._links.find(held.owner)
+            if link is not None:
+                self._send(link.stream, RunSlow(held.order.task, held.order.run))
+
+    def _hear_end(self, end: ListedEnd) -> None:
+        if not self._endpoint.see_end(end.number):
+            return
+        held = self.shelf.runs.get(end.task)
+        if held is None or held.order.run != end.run:
+            return
+        if held.state is RunState.PARKED:
+            return
+        result = end.end
+        told = (RunEnd.STALLED, RunEnd.TAKEN_OVER)
+        if result is RunEnd.STOPPED and held.stop_reason in told:
+            result = RunEnd(held.stop_reason)
+        self._settle(held, result, end.checkpoint)
+
+    def _settle(self, held: HeldRun, end: RunEnd, checkpoint: str = "") -> None:
+        self.shelf.remove(held)
+        self._settled[(held.order.task, held.order.run)] = None
+        if len(self._settled) > REMEMBERED_RUNS:
+            self._settled.popitem(last=False)
+        self._tell_outcome(held, end, checkpoint)
+
+    def _tell_outcome(self, held: HeldRun, end: RunEnd, checkpoint: str = "") -> None:
+        elapsed = self._now - held.ordered_at
+        waited = held.ordered_at - held.arrived_at
+        order = held.order
+        self._counts.add("runs_ended", end)
+        self._note("run_ended", order.task, run=order.run, end=end, s=round(elapsed, 4))
+        outcome = RunOutcome(order.task, order.run, end, elapsed, waited, checkpoint)
+        link = self._links.find(held.owner)
+        if link is None:
+            self.outbox.put(held.owner, outcome, self._now)
+        else:
+            self._send(link.stream, outcome)
+
+    def hear_hold_failed(self, event: HoldFailed) -> None:
+        """Act on a renewal that was refused or not answered."""
+        renewal = self._endpoint.take_renewal(event.renewal)
+        if renewal is None:
+            return
+        self._counts.add("renewals_failed", event.verdict)
+        self._endpoint.clock.hear(event.clock, self._now)
+        if event.verdict == HoldVerdict.OTHER_INSTANCE:
+            self._lose_endpoint("other_instance")
+        elif event.verdict == HoldVerdict.FENCED:
+            self._disprove_successor(event.renewal)
+            if renewal.token >= self._endpoint.token:
+                self._endpoint.raise_token(self._now)
+        elif self._endpoint.is_probe(event.renewal):
+            self._lose_endpoint("replaced")
+        else:
+            self._endpoint.postpone_renewal(self._now)
+
+    def _disprove_successor(self, renewal: int) -> None:
+        if not self._endpoint.is_probe(renewal):
+            return
+        successor = self._endpoint.take_successor()
+        if successor is not None:
+            self._counts.add("reports_disproved")
+            self._note("report_disproved", instance=successor.instance)
+
+    def lose_all(self, end: RunEnd) -> None:
+        """Count everything here as ended."""
+        for held in list(self.shelf.runs.values()):
+            parked = held.state is RunState.PARKED
+            self._settle(held, RunEnd.NOT_STARTED if parked else end)
+
+    def return_parked(self) -> None:
+        """Send back the runs that wait here."""
+        for held in self.shelf.list_parked():
+            self._settle(held, RunEnd.CLOSED)
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -187,7 +187,7 @@
     ),
     Break(
         "unanswered orders give up their room",
-        f"{LEASED}/agent.py",
+        f"{LEASED}/runner.py",
         "        held.state = RunState.DOUBTFUL\n",
         "        held.state = RunState.DOUBTFUL\n"
         "        self._settle(held, RunEnd.NOT_STARTED)\n        return\n",
@@ -195,7 +195,7 @@
     ),
     Break(
         "an older renewal voids an unanswered order",
-        f"{LEASED}/agent.py",
+        f"{LEASED}/runner.py",
         "            return token > held.token\n",
         "            return True\n",
         f"{RUNS}/test_failures.py::test_a_doubtful_order_counts_until_a_higher_token_is_known",
@@ -211,7 +211,7 @@
     Break(
         "runs of a lost entry go on",
         f"{LEASED}/agent.py",
-        "            self._stop_owned(link.hello.incarnation)",
+        "            self.runner.stop_owned(link.hello.incarnation)",
         "            pass",
         f"{RUNS}/test_failures.py::"
         "test_runs_of_a_dead_entry_are_stopped_before_the_caller_comes_again",
@@ -312,7 +312,7 @@
     ),
     Break(
         "a run waits for room that is gone",
-        f"{LEASED}/agent.py",
+        f"{LEASED}/runner.py",
         "if not order.parks and not self._has_room(held):",
         "if False:",
         f"{RUNS}/test_failures.py::"
--- a/tests/lib/runs_world.py
+++ b/tests/lib/runs_world.py
@@ -158,9 +158,7 @@
     def add_agent(self, name: str, capacity: Resources = CAPACITY) -> Process:
         """Start an agent, and its endpoint if there is none."""
         identity = Identity(name, f"{name}#{next(self._sequence)}", name, "zone-1")
-        process = Process(
-            self, name, RunAgentCore(identity, self.now, policy=self.policy)
-        )
+        process = Process(self, name, RunAgentCore(identity, self.now))
         self.processes[name] = process
         entries = [each.name for each in self._list(RunEntryCore)]
         process.give(AddressesRead(tuple(entries)))
