End the import circles between HTTP applications and the processes behind them

http/agent and operations/agent, http/entry, operations/entry and operations/status needed each other, some for annotations only. The applications now say by a protocol what they need of the process; the status page takes the core.

--- a/src/godwitbank/_internal/http/agent.py
+++ b/src/godwitbank/_internal/http/agent.py
@@ -1,19 +1,18 @@
 """The agent's local HTTP face: the endpoint beside it, and monitoring."""
 
-from typing import TYPE_CHECKING, Any, TypedDict
+from typing import Any, Protocol, TypedDict
 
 from litestar import Litestar, Response, delete, get, put
 from litestar.exceptions import HTTPException
 
+from godwitbank._internal.core.agent import AgentCore
 from godwitbank._internal.http.problems import (
     METRICS_TYPE,
     handle_http_error,
     make_fault,
 )
 from godwitbank._internal.models.document import MAX_SLOTS
-
-if TYPE_CHECKING:
-    from godwitbank._internal.operations.agent import AgentProcess
+from godwitbank._internal.operations.metrics import Exporter
 
 MAX_LEASE = 60.0
 
@@ -48,7 +47,20 @@
     return None
 
 
-def make_app(process: "AgentProcess") -> Litestar:
+class Agent(Protocol):
+    """What this application needs of the process behind it."""
+
+    core: AgentCore
+    exporter: Exporter
+
+    async def announce(self, announcement: Announcement) -> None:
+        """Take what the endpoint says of itself."""
+
+    async def leave(self) -> None:
+        """Let the endpoint leave."""
+
+
+def make_app(process: Agent) -> Litestar:
     """Make the application of one agent."""
 
     @put("/v1/endpoint", summary="Announce the endpoint, or renew.")
--- a/src/godwitbank/_internal/http/entry.py
+++ b/src/godwitbank/_internal/http/entry.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import Annotated, Any, Protocol
 
 import httptools  # noqa: F401  fails here, at start, rather than in the server
 from litestar import Litestar, Request, Response, get, post, put
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from godwitbank import __version__
+from godwitbank._internal.core.entry import EntryCore
 from godwitbank._internal.exceptions import ConflictError, TableError
 from godwitbank._internal.http.bodies import (
     JSON,
@@ -29,22 +30,47 @@
 )
 from godwitbank._internal.models.document import ServiceDocument
 from godwitbank._internal.models.outcomes import Complete, Failed, Outcome
-from godwitbank._internal.operations.registry import Application
+from godwitbank._internal.models.settings import EntrySettings
+from godwitbank._internal.models.tasks import TaskSpec
+from godwitbank._internal.operations.metrics import Exporter
+from godwitbank._internal.operations.registry import Application, Registry
 from godwitbank._internal.operations.status import describe_entry
 
-if TYPE_CHECKING:
-    from godwitbank._internal.operations.entry import EntryProcess
-
 MAX_DOCUMENT = 256 * 1024
 Header = Annotated[str, HeaderParameter(name="Idempotency-Key")]
 
 
+class Entry(Protocol):
+    """What this application needs of the process behind it."""
+
+    core: EntryCore
+    exporter: Exporter
+    registry: Registry
+    settings: EntrySettings
+    stopping: asyncio.Event
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+
+    def find_deadline(self, service: str, tasks: tuple[TaskSpec, ...]) -> float:
+        """Find the longest deadline of some tasks, in seconds."""
+
+    async def submit(
+        self, service: str, tasks: tuple[TaskSpec, ...], seconds: float
+    ) -> Outcome:
+        """Hand a submission over and wait for its outcome."""
+
+    def drain_agent(self, agent: str, operator: str) -> bool:
+        """Ask an agent to leave; returns whether it is connected."""
+
+
 class CallerGoneError(Exception):
     """The caller hung up; nobody is left to answer."""
 
 
 async def _await_outcome(
-    process: "EntryProcess", request: Request, service: str, parsed: Parsed
+    process: Entry, request: Request, service: str, parsed: Parsed
 ) -> Outcome:
     seconds = process.find_deadline(service, parsed.tasks)
     if parsed.seconds:
@@ -61,7 +87,7 @@
         gone.cancel()
 
 
-def _make_handlers(process: "EntryProcess") -> list[Any]:
+def _make_handlers(process: Entry) -> list[Any]:
     @post(
         "/v1/services/{service:str}/requests",
         summary="Run one task and answer with the endpoint's answer.",
@@ -113,7 +139,7 @@
     return make_fault(400, "malformed_body", detail, "mend the body; see /schema")
 
 
-def _make_operator_handlers(process: "EntryProcess") -> list[Any]:
+def _make_operator_handlers(process: Entry) -> list[Any]:
     @put("/v1/services/{service:str}/document", summary="Accept a document.")
     async def apply_document(
         service: str,
@@ -157,7 +183,7 @@
 
     @get("/v1/status", summary="Show what this entry knows.")
     async def show_status() -> dict[str, Any]:
-        return describe_entry(process)
+        return describe_entry(process.core, process.ready)
 
     @post("/v1/agents/{agent:str}/drain", summary="Ask an agent to leave.")
     async def drain(
@@ -171,7 +197,7 @@
     return [apply_document, show_document, show_status, drain]
 
 
-def _make_monitoring_handlers(process: "EntryProcess") -> list[Any]:
+def _make_monitoring_handlers(process: Entry) -> list[Any]:
     @get("/v1/health", summary="Say that this process lives.")
     async def show_health() -> dict[str, str]:
         return {"status": "alive"}
@@ -193,7 +219,7 @@
     return Response(b"", status_code=499)
 
 
-def make_app(process: "EntryProcess") -> Litestar:
+def make_app(process: Entry) -> Litestar:
     """Make the application of one entry."""
 
     async def add_connection_header(response: Response) -> Response:
--- a/src/godwitbank/_internal/operations/agent.py
+++ b/src/godwitbank/_internal/operations/agent.py
@@ -5,7 +5,6 @@
 import signal
 import time
 import uuid
-from typing import TYPE_CHECKING
 
 from absl import logging
 
@@ -24,7 +23,7 @@
 )
 from godwitbank._internal.core.identity import Identity, Timing, make_hello
 from godwitbank._internal.exceptions import FrameError
-from godwitbank._internal.http.agent import make_app
+from godwitbank._internal.http.agent import Announcement, make_app
 from godwitbank._internal.models.messages import (
     Ending,
     Message,
@@ -39,9 +38,6 @@
 from godwitbank._internal.operations.metrics import Exporter
 from godwitbank._internal.operations.server import HttpServer, bind
 
-if TYPE_CHECKING:
-    from godwitbank._internal.http.agent import Announcement
-
 ANNOUNCE_SECONDS = 1.0
 """Longest wait for an entry's reply to an announcement."""
 
@@ -73,7 +69,7 @@
 
     # What the HTTP application calls
 
-    async def announce(self, announcement: "Announcement") -> None:
+    async def announce(self, announcement: Announcement) -> None:
         """Take an endpoint's announcement or renewal."""
         if announcement["url"] != self._endpoint_url:
             self._endpoint_url = announcement["url"]
--- a/src/godwitbank/_internal/operations/status.py
+++ b/src/godwitbank/_internal/operations/status.py
@@ -1,15 +1,13 @@
 """What an entry tells an operator about itself and what it knows."""
 
 import time
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-if TYPE_CHECKING:
-    from godwitbank._internal.operations.entry import EntryProcess
+from godwitbank._internal.core.entry import EntryCore
 
 
-def describe_entry(process: "EntryProcess") -> dict[str, Any]:
+def describe_entry(core: EntryCore, ready: bool) -> dict[str, Any]:
     """Describe an entry, its peers, agents and services."""
-    core = process.core
     now = time.monotonic()
     agents = [
         {
@@ -48,7 +46,7 @@
     return {
         "entry": core.identity.process,
         "zone": core.identity.zone,
-        "ready": process.ready,
+        "ready": ready,
         "jobs": len(core.dispatcher.jobs),
         "revisions": core.catalog.list_revisions(),
         "agents": agents,
