--- a/tests/core/runs/test_load.py
+++ b/tests/core/runs/test_load.py
@@ -85,13 +85,14 @@
 
 def test_a_large_task_is_not_starved_by_small_ones() -> None:
     # Symptom: a job whose task needs a whole endpoint never begins while there is
-    # other work. Sequence: small tasks take each bit of room as it becomes free.
-    # Cause: nothing kept room for a task that needs much of it.
+    # more work than room, and is refused after a wait. Sequence: small tasks take each
+    # bit of room as it becomes free. Cause: nothing kept room for a task that needs
+    # much of it.
     load = Load(seed=3)
-    load.play(90.0, 1.0)
+    load.play(130.0, 1.0)
     step = StepSpec(1, Resources(16000, 64, 0), 0.3)
     load.world.submit("entry-0", JobSpec("large", "middling", "0.3", (step,)))
-    load.play(90.0, 4.0)
+    load.play(130.0, 4.0)
     assert [str(r.end) for r in load.world.results["large"]] == ["completed"]
 
 
