--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -123,6 +123,11 @@
         """Whether new runs are taken."""
         return self.runner.open
 
+    @property
+    def stopping(self) -> bool:
+        """Whether this process was asked to end."""
+        return self.runner.stopping
+
     def describe(self) -> dict[str, object]:
         """Describe this agent's state for a status page."""
         return {
@@ -272,7 +277,7 @@
         self.runner.return_parked()
 
     def _check_quiet(self) -> None:
-        if self.runner.stopping and not self._quiet and not self.shelf.runs:
+        if self.stopping and not self._quiet and not self.shelf.runs:
             self._quiet = True
             self._out.append(Quiet())
 
