Look for entries at the store again while none is reached

Cause: an agent read where entries are once, when it started. If all entries it knew are replaced at other addresses while it is cut off, nobody tells it of the new ones. Change: it reads again every 3 s while no entry is reached.

--- a/src/godwitbank/_internal/platform/programs.py
+++ b/src/godwitbank/_internal/platform/programs.py
@@ -14,6 +14,10 @@
 
 STANDARD_OUTPUT = 1
 
+FIND_SECONDS = 3.0
+"""Seconds between two looks whether any entry is reached. Those that come back at their
+addresses are dialled twice a second meanwhile; a read is paid for."""
+
 
 def identify(settings: PlatformSettings) -> Identity:
     """Choose a new incarnation."""
@@ -42,5 +46,13 @@
 async def find_entries(
     store: StoreClient, process: RunAgentProcess | RunEntryProcess
 ) -> None:
-    """Learn from the store where entries are."""
-    process.learn_entries(await store.find_entries())
+    """Learn from the store where entries are; again while none is reached.
+
+    All entries may be replaced at other addresses while a process is cut off: nobody
+    is left then who could tell it of them.
+    """
+    while True:
+        process.learn_entries(await store.find_entries())
+        await asyncio.sleep(FIND_SECONDS)
+        while process.core.links.list_peers():
+            await asyncio.sleep(FIND_SECONDS)
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -199,3 +199,16 @@
         [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True
     )
     assert done.stdout == "alive\n"
+
+
+def test_an_agent_finds_entries_that_replaced_all_it_knew(
+    platform: PlatformFleet,
+) -> None:
+    # Symptom: an endpoint with room gets no work. Sequence: all entries are removed
+    # while its agent is cut off, and others start at other addresses. Cause: the agent
+    # read where entries are once, when it started, and nobody is left to tell it.
+    platform.start(entries=1, agents=1)
+    platform.kill("entry-0")
+    platform.start_entry("entry-1")
+    platform.wait_ready("entry-1", agents=1)
+    assert platform.submit("entry-1", f"{JOB}01").status_code == 200
