--- a/src/godwitbank/_internal/network/streams.py
+++ b/src/godwitbank/_internal/network/streams.py
@@ -79,6 +79,7 @@
 
     def _take(self, message: Message) -> None:
         if self._greeted:
+            self._events.add_count("frames_heard", type(message).__name__)
             self._events.deliver(Received(self.number, message))
             return
         if not isinstance(message, Hello | Welcome):
@@ -113,6 +114,8 @@
     def write(self, messages: list[Message]) -> None:
         """Write frames in one piece."""
         if self._transport is not None and not self._transport.is_closing():
+            for message in messages:
+                self._events.add_count("frames_sent", type(message).__name__)
             self._transport.write(b"".join([encode(each) for each in messages]))
 
     def close(self) -> None:
