Send nothing new to an agent that should have been heard by now

Cause: an agent whose VM is dark looks as free as before until its stream counts as dead (0.7 s); what is sent there is late by some 2 s. Ruled out: a shorter silence, which ends runs of sound agents that are only slow. Change: after 0.4 s without a frame on a busy stream it gets nothing new. The test failed before (three of three tasks waited for the lease to lapse) and passes. Ran: tests/core/runs, all passed.

--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -22,6 +22,11 @@
 entry's runs are stopped before another entry starts them anew.
 """
 
+OVERDUE = 0.4
+"""Seconds without a frame after which a busy stream gets nothing new: its other end is
+slow or gone. Proofs of life come 0.3 s apart at the most. What is sent to an agent that
+is gone is late by 2 s, and would be sent for 0.7 s otherwise."""
+
 IDLE_PULSE = 1.5
 """Seconds between proofs of life on a stream with nothing in flight."""
 
@@ -93,6 +98,10 @@
         self._lead = -math.inf
         self._lead_at = now
 
+    def is_overdue(self, now: float) -> bool:
+        """Tell whether a frame should have come by now, though it isn't dead yet."""
+        return now - max(self.heard_at, self.busy_since) > OVERDUE
+
     def hear_clock(self, clock: float, now: float) -> None:
         """Note the other process's clock, told in a message.
 
--- a/src/godwitbank/_internal/core/runs/placement.py
+++ b/src/godwitbank/_internal/core/runs/placement.py
@@ -132,6 +132,8 @@
     rules = task.rules
     if task.name in view.tasks or not rules.needs.fits(view.capacity):
         return False
+    if view.link.is_overdue(now):
+        return False
     if rules.label and rules.label not in view.labels:
         return False
     if rules.spread and view.count_step(task) >= rules.spread:
--- a/tests/core/runs/test_failures.py
+++ b/tests/core/runs/test_failures.py
@@ -587,3 +587,18 @@
     world.add_agent("agent-0")
     world.run(3.0)
     assert _list_runs_after(world, "agent-0", world.now - 0.3) == []
+
+
+def test_an_agent_that_is_overdue_gets_nothing_new() -> None:
+    # Symptom: jobs are late by two seconds after a VM lost its power. Sequence: its
+    # agent says nothing any more; until its stream counts as dead, entries send it
+    # work for the room they think it has. Cause: that it should have been heard by
+    # then told them nothing.
+    world = make_world(entries=1, agents=2)
+    world.submit("entry-0", make_job("j1", width=8, seconds=3.0))
+    world.run(0.3)
+    world.darken("agent-0")
+    world.run(0.5)
+    world.submit("entry-0", make_job("j2", width=3, seconds=0.2))
+    world.run(0.5)
+    assert world.get_ends("j2") == ["completed"]
