--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -36,6 +36,7 @@
     StartAnswered,
 )
 from godwitbank._internal.core.runs.links import Link, Links
+from godwitbank._internal.core.runs.moves import StreamMoves
 from godwitbank._internal.core.runs.runner import Runner
 from godwitbank._internal.models.jobs import RunEnd
 from godwitbank._internal.models.messages import (
@@ -61,10 +62,6 @@
 """Change of an endpoint's slowness that entries are told before the next proof of life.
 Endpoints count as slow from 2.0, and sound ones differ by less than this."""
 
-LEAVE_SECONDS = 0.5
-"""Seconds between telling an entry that it will be left and leaving it; what it has
-sent before it heard so has arrived by then."""
-
 
 class Told(NamedTuple):
     """What all entries are told from: while it is the same they need no look."""
@@ -97,7 +94,7 @@
         self._owners: set[str] = set()
         self._linked_anew = True
         self._quiet = False
-        self._leaving_since = now
+        self._moves = StreamMoves(self.links, now)
         self._out: list[RunAction] = []
         self._now = now
         self._handlers: dict[type, Callable] = {
@@ -311,22 +308,11 @@
                 self._send(link.stream, Pulse([], slowness, self._now))
 
     def _move_streams(self) -> None:
-        """Leave one entry, if there are more than are needed.
-
-        It is told first that nothing new is taken from it, and left once nothing of it
-        is here: an order on its way to a closed stream would be lost for seconds.
-        """
-        leaving = [link for link in self.links if link.leaving]
-        for link in leaving:
-            idle = link.hello.incarnation not in self.shelf.owners
-            if idle and self._now - self._leaving_since > LEAVE_SECONDS:
-                self._drop_link(link.stream, "not_needed")
-        address = None if leaving else self.links.addresses.find_surplus()
-        for link in self.links:
-            if link.hello.address == address:
-                link.leaving = True
-                self._linked_anew = True
-                self._leaving_since = self._now
+        left = self._moves.find_left(self.shelf.owners, self._now)
+        if left is not None:
+            self._drop_link(left.stream, "not_needed")
+        if self._moves.begin(self._now):
+            self._linked_anew = True
 
     def _stop(self, event: StopRequested) -> None:
         del event
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -254,8 +254,8 @@
     ),
     Break(
         "streams move with runs on them",
-        f"{LEASED}/agent.py",
-        "            idle = link.hello.incarnation not in self.shelf.owners",
+        f"{LEASED}/moves.py",
+        "            idle = link.hello.incarnation not in owners",
         "            idle = True",
         f"{RUNS}/test_meeting.py::test_a_stream_that_moves_cuts_no_run",
     ),
