--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -147,10 +147,6 @@
     def __iter__(self) -> Iterator[Link]:
         return iter(list(self._by_stream.values()))
 
-    def get(self, stream: int) -> Link | None:
-        """Get the link of a stream, if it is open."""
-        return self._by_stream.get(stream)
-
     def list_peers(self) -> list[Link]:
         """List one stream to each entry."""
         return [
