Let the leaving agent of a test live until it has been asked

Cause, traced: the agent had ended, as it should, 1.5 s after it was told to leave; the test asks it twice in that time. Ruled out: the agent ends with work running, as the endpoint's record is checked after. Change: tasks of 3 s instead of 1.5, 32 instead of 48 of them, so that the job still ends within its deadline; two waves still wait when it leaves. What is checked stays.

--- a/tests/failures/test_leaving.py
+++ b/tests/failures/test_leaving.py
@@ -19,13 +19,13 @@
 pytestmark = pytest.mark.processes
 
 
-TASKS = 48
-"""Three times as many as the two endpoints run at once, so that work is waiting."""
+TASKS = 32
+"""Twice as many as the two endpoints run at once, so that work is waiting."""
 
-RUN_MS = 1500
+RUN_MS = 3000
 """Run time of a task. That all slots are taken must last long enough to be seen from
-outside: with 300 ms it was over before two endpoints had been asked, beside eight busy
-processes in one run of eight."""
+outside, and the agent that leaves must live until it has been asked twice: with 1500 ms
+it had ended, as it should, before the second question, once beside busy processes."""
 
 
 def _leave(fleet: Fleet, way: str) -> None:
