Tell by logs and metrics how far a process is behind

Cause: the five hypotheses of the incident could not be told apart by what a process says of itself. How late it was had to be guessed from when its log was written; refusals said no figure they were decided by; the log lost most lines when most happened, as what one write didn't take waited for the next line.

Change: a timer measures how late the event loop runs (histogram loop_lag, lines behind and caught_up, status page), refusals tell lag, cores and waiting tasks, requests read and answers by status are counted, what a full pipe holds back is written by itself and a gap is told in log and metrics.

No decision uses the lag yet.

--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -28,6 +28,7 @@
     Held,
     HoldFailed,
     KeepReport,
+    Lagged,
     Note,
     Quiet,
     Reported,
@@ -37,6 +38,7 @@
 )
 from godwitbank._internal.core.runs.links import Link, Links
 from godwitbank._internal.core.runs.moves import StreamMoves
+from godwitbank._internal.core.runs.pressure import Pressure
 from godwitbank._internal.core.runs.runner import Runner
 from godwitbank._internal.models.jobs import RunEnd
 from godwitbank._internal.models.messages import (
@@ -89,6 +91,7 @@
             self.endpoint, self.links, self.counts, now, self._lose_endpoint
         )
         self.shelf = self.runner.shelf
+        self.pressure = Pressure()
         self._bulletins = Bulletins()
         self._told: Told | None = None
         self._owners: set[str] = set()
@@ -109,6 +112,7 @@
             Held: self.runner.hear_hold,
             HoldFailed: self.runner.hear_hold_failed,
             StopRequested: self._stop,
+            Lagged: self._note_lag,
             Tick: self._tick,
         }
         self._receivers: dict[type, Callable] = {
@@ -163,6 +167,7 @@
             "open": self.open,
             "free": list(self.shelf.free),
             "placed": len(self.shelf.list_placed()),
+            "lag": round(self.pressure.lag, 3),
             "parked": self.shelf.parked,
             "entries": [link.hello.process for link in self.links],
         }
@@ -280,6 +285,12 @@
 
     # Time
 
+    def _note_lag(self, event: Lagged) -> None:
+        change = self.pressure.observe(event.seconds, self._now)
+        if change is not None:
+            self.counts.add("pressure_changes", change.event)
+            self._out.append(change)
+
     def _tick(self, event: Tick) -> None:
         del event
         for link in self.links.list_silent(self._now):
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -18,6 +18,7 @@
 from godwitbank._internal.core.runs.ownership import LAPSE_SECONDS
 from godwitbank._internal.core.runs.placement import Chooser, Place
 from godwitbank._internal.core.runs.policy import DEFAULT, Policy
+from godwitbank._internal.core.runs.pressure import Pressure
 from godwitbank._internal.core.runs.waiting import WaitingTasks
 from godwitbank._internal.core.runs.work import Job, Task, TaskState
 from godwitbank._internal.models.jobs import JobEnd, JobResult, RunEnd
@@ -67,9 +68,11 @@
         rng: Random,
         counts: Counts,
         now: float,
+        pressure: Pressure,
         policy: Policy = DEFAULT,
     ) -> None:
         self._policy = policy
+        self._pressure = pressure
         self._booted_at = now
         self.jobs: dict[str, Job] = {}
         self.fleet = Fleet()
@@ -146,7 +149,16 @@
     def refuse(self, job: Job, reason: str) -> None:
         """Answer that a job has not run and was not taken."""
         self._counts.add("jobs_refused", reason)
-        self._note("job_refused", job.spec.job, queue=job.queue.name, reason=reason)
+        service = job.queue.service
+        self._note(
+            "job_refused",
+            job.spec.job,
+            queue=job.queue.name,
+            reason=reason,
+            lag=round(self._pressure.lag, 3),
+            cores=round(self.fleet.measure_capacity(service, self._now), 1),
+            waiting=self._get_waiting(job).count,
+        )
         result = JobResult(job.spec.job, JobEnd.REFUSED, reason, False, COME_BACK)
         for caller in job.callers:
             self._out(Answer(caller, result))
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -25,6 +25,7 @@
     ConfigurationRead,
     JobCancelled,
     JobSubmitted,
+    Lagged,
     Note,
     Quiet,
     RunAction,
@@ -33,6 +34,7 @@
 from godwitbank._internal.core.runs.handover import Handover
 from godwitbank._internal.core.runs.links import Link, Links
 from godwitbank._internal.core.runs.policy import DEFAULT, Policy
+from godwitbank._internal.core.runs.pressure import Pressure
 from godwitbank._internal.core.runs.routes import RouteTable
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.jobs import (
@@ -100,7 +102,10 @@
         self.counts = Counts() if counts is None else counts
         self.links = Links(identity.address, identity.incarnation, now, None)
         self.routes = RouteTable()
-        self.dispatcher = Dispatcher(identity.zone, rng, self.counts, now, policy)
+        self.pressure = Pressure()
+        self.dispatcher = Dispatcher(
+            identity.zone, rng, self.counts, now, self.pressure, policy
+        )
         self.stopping = False
         self._stopped_at = 0.0
         self.handover = Handover(
@@ -122,6 +127,7 @@
             StreamClosed: self._close,
             Received: self._receive,
             StopRequested: self._stop,
+            Lagged: self._note_lag,
             Tick: self._tick,
         }
         self._agent_receivers: dict[type, Callable] = {
@@ -193,6 +199,7 @@
             "entry": self.identity.process,
             "version": self.routes.version,
             "jobs": len(self.dispatcher.jobs),
+            "lag": round(self.pressure.lag, 3),
             "agents": [
                 {"agent": view.address, "open": view.open, "free": list(view.free)}
                 for view in self.dispatcher.fleet.views.values()
@@ -230,7 +237,8 @@
 
     def _refuse_early(self, event: JobSubmitted, reason: str) -> None:
         self.counts.add("jobs_refused", reason)
-        self._note("job_refused", event.spec.job, reason=reason)
+        lag = round(self.pressure.lag, 3)
+        self._note("job_refused", event.spec.job, reason=reason, lag=lag)
         job = event.spec.job
         result = JobResult(job, JobEnd.REFUSED, reason, False, COME_BACK)
         self._out.append(Answer(event.caller, result))
@@ -409,6 +417,12 @@
 
     # Time
 
+    def _note_lag(self, event: Lagged) -> None:
+        change = self.pressure.observe(event.seconds, self._now)
+        if change is not None:
+            self.counts.add("pressure_changes", change.event)
+            self._out.append(change)
+
     def _tick(self, event: Tick) -> None:
         del event
         for link in self.links.list_silent(self._now):
--- a/src/godwitbank/_internal/core/runs/events.py
+++ b/src/godwitbank/_internal/core/runs/events.py
@@ -53,6 +53,12 @@
     addresses: tuple[str, ...]
 
 
+class Lagged(NamedTuple):
+    """A timer of this process fired late, by some seconds."""
+
+    seconds: float
+
+
 class Reported(NamedTuple):
     """The endpoint reported about itself."""
 
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/pressure.py
@@ -0,0 +1,64 @@
+"""Whether a process keeps up with what it is asked, told by how late its timers fire.
+
+A process without processor time left doesn't notice by itself: its requests wait in
+sockets, and each turn of its event loop finds more of them and takes longer. Its
+callers notice, as their time is over before they are read.
+"""
+
+import math
+from collections import deque
+from typing import NamedTuple
+
+from godwitbank._internal.core.runs.events import Note
+
+WINDOW = 0.1
+"""Seconds of which the least lateness counts. One long turn, a pause of the VM, or an
+allowance of processor time that is used up until the next tenth of a second makes one
+timer late; only a queue that doesn't empty makes all of them late."""
+
+BEHIND = 0.05
+"""Seconds of lateness at which a process is behind. A job is read, placed and answered
+in several turns of the loop, each as late; tasks of a tenth of a second are late then.
+"""
+
+CAUGHT_UP = 0.02
+"""Seconds of lateness at which it isn't any more; apart from ``BEHIND``, so that a
+process at the limit doesn't log every change."""
+
+
+class Sample(NamedTuple):
+    """How late a timer fired, in seconds, and when."""
+
+    lag: float
+    at: float
+
+
+class Pressure:
+    """How far a process is behind."""
+
+    def __init__(self) -> None:
+        self.lag = 0.0
+        self.behind = False
+        self.behind_since = math.inf
+        self._samples: deque[Sample] = deque()
+
+    def observe(self, lag: float, now: float) -> Note | None:
+        """Note how late a timer fired.
+
+        :return: the line to log, if the process has fallen behind or caught up by it.
+        """
+        self._samples.append(Sample(lag, now))
+        while now - self._samples[0].at > WINDOW:
+            self._samples.popleft()
+        self.lag = min(sample.lag for sample in self._samples)
+        was_behind = self.behind
+        self.behind = self.lag >= (CAUGHT_UP if was_behind else BEHIND)
+        if self.behind == was_behind:
+            return None
+        told = round(self.lag, 3)
+        if self.behind:
+            self.behind_since = now
+            return Note("behind", "", {"lag": told})
+        return Note(
+            "caught_up", "", {"lag": told, "s": round(now - self.behind_since, 3)}
+        )
--- a/src/godwitbank/_internal/operations/decisions.py
+++ b/src/godwitbank/_internal/operations/decisions.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from godwitbank._internal.core.counters import Counts
+
 MAX_BUFFERED = 256 * 1024
 """Bytes of lines that wait for the reader; some seconds of a busy process."""
 
@@ -24,12 +26,21 @@
 
 
 class DecisionLog:
-    """Writes decisions of one process to a file descriptor."""
+    """Writes decisions of one process to a file descriptor.
+
+    :param counts: is told how many lines were dropped.
+    """
 
     def __init__(
-        self, descriptor: int, process: str, clock: Callable[[], float]
+        self,
+        descriptor: int,
+        process: str,
+        clock: Callable[[], float],
+        counts: Counts,
     ) -> None:
         self.dropped = 0
+        self._counts = counts
+        self._told_dropped = 0
         self._descriptor = descriptor
         self._process = process
         self._clock = clock
@@ -48,9 +59,13 @@
         data = _encode(line) + b"\n"
         if self._size + len(data) > MAX_BUFFERED:
             self.dropped += 1
+            self._counts.add("log_lines_dropped")
             return
         self._lines.append(data)
         self._size += len(data)
+        self._schedule()
+
+    def _schedule(self) -> None:
         if not self._scheduled:
             self._scheduled = True
             asyncio.get_running_loop().call_later(FLUSH_SECONDS, self._flush)
@@ -68,8 +83,16 @@
         rest = data[written:]
         self._size = len(rest)
         if rest:
+            # Left until the next line is logged, it would be read late, and what is
+            # logged most, when a process is behind, would be dropped.
             self._lines.append(rest)
+            self._schedule()
+        elif self._told_dropped < self.dropped:
+            lines = self.dropped - self._told_dropped
+            self._told_dropped = self.dropped
+            self.write("log_lines_dropped", "", {"lines": lines})
 
     def close(self) -> None:
         """Write what can be written without waiting."""
+        self._told_dropped = self.dropped
         self._flush()
--- a/src/godwitbank/_internal/operations/run_agent.py
+++ b/src/godwitbank/_internal/operations/run_agent.py
@@ -15,6 +15,7 @@
     Held,
     HoldFailed,
     KeepReport,
+    Lagged,
     Note,
     Quiet,
     Renew,
@@ -30,6 +31,7 @@
 from godwitbank._internal.operations.clocks import read_boot_time
 from godwitbank._internal.operations.decisions import DecisionLog
 from godwitbank._internal.operations.inbox import Inbox, wait_unless_failed
+from godwitbank._internal.operations.lag import AGENT_PERIOD, LagMeter
 from godwitbank._internal.operations.metrics import Exporter
 
 STOP_SECONDS = 4.5
@@ -93,6 +95,7 @@
         self._inbox = Inbox(
             self.core, self._perform, lambda: self.core.next_wakeup, read_boot_time
         )
+        self._lag = LagMeter(AGENT_PERIOD, read_boot_time, self._hear_lag)
         events = StreamEvents(self._inbox.put, self.core.counts.add)
         self.streams = StreamTable(events, make_hello(identity, Role.AGENT))
 
@@ -114,6 +117,10 @@
         """Take stream addresses of entries."""
         self._inbox.put(AddressesRead(addresses))
 
+    def _hear_lag(self, seconds: float) -> None:
+        self.exporter.record("loop_lag", seconds)
+        self._inbox.put(Lagged(seconds))
+
     def _perform(self, actions: list[RunAction]) -> None:
         writes: dict[int, list[Message]] = {}
         for action in actions:
@@ -164,6 +171,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         owner = asyncio.create_task(self._inbox.run())
+        self._lag.start()
         self._spawn(self._recall())
         self._log.write("started", "", {"incarnation": self._incarnation})
         await wait_unless_failed(self.stopping, owner)
@@ -172,6 +180,7 @@
             async with asyncio.timeout(STOP_SECONDS):
                 await wait_unless_failed(self._quiet, owner)
         await asyncio.sleep(SETTLE_SECONDS)
+        self._lag.stop()
         self.streams.close_all()
         owner.cancel()
         await self._orders.close()
--- a/src/godwitbank/_internal/operations/run_entry.py
+++ b/src/godwitbank/_internal/operations/run_entry.py
@@ -16,6 +16,7 @@
     ConfigurationRead,
     JobCancelled,
     JobSubmitted,
+    Lagged,
     Note,
     Quiet,
     RunAction,
@@ -26,6 +27,7 @@
 from godwitbank._internal.operations.clocks import read_boot_time
 from godwitbank._internal.operations.decisions import DecisionLog
 from godwitbank._internal.operations.inbox import Inbox, wait_unless_failed
+from godwitbank._internal.operations.lag import ENTRY_PERIOD, LagMeter
 from godwitbank._internal.operations.metrics import Exporter
 
 SETTLE_SECONDS = 0.2
@@ -50,6 +52,7 @@
         self._inbox = Inbox(
             self.core, self._perform, lambda: self.core.next_wakeup, read_boot_time
         )
+        self._lag = LagMeter(ENTRY_PERIOD, read_boot_time, self._hear_lag)
         events = StreamEvents(self._inbox.put, self.core.counts.add)
         self.streams = StreamTable(events, make_hello(identity, Role.ENTRY))
 
@@ -72,6 +75,7 @@
             return result
         except asyncio.CancelledError:
             self._inbox.put(CallerGone(caller))
+            self.exporter.record("caller_gone", read_boot_time() - began)
             raise
         finally:
             self._callers.pop(caller, None)
@@ -91,6 +95,10 @@
         """Take stream addresses of entries."""
         self._inbox.put(AddressesRead(addresses))
 
+    def _hear_lag(self, seconds: float) -> None:
+        self.exporter.record("loop_lag", seconds)
+        self._inbox.put(Lagged(seconds))
+
     # Actions
 
     def _perform(self, actions: list[RunAction]) -> None:
@@ -125,6 +133,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         self._owner = asyncio.create_task(self._inbox.run())
+        self._lag.start()
         self._log.write("started", "", {"incarnation": self._incarnation})
         await wait_unless_failed(self.stopping, self._owner)
         self._inbox.put(StopRequested())
@@ -134,6 +143,7 @@
         """Close streams; callers must have been answered before."""
         await asyncio.sleep(SETTLE_SECONDS)
         self.streams.close_all()
+        self._lag.stop()
         if self._owner is not None:
             self._owner.cancel()
         self._log.write("stopped", "", {"lines_dropped": self._log.dropped})
--- a/src/godwitbank/_internal/platform/agent_program.py
+++ b/src/godwitbank/_internal/platform/agent_program.py
@@ -50,9 +50,9 @@
 async def serve_agent() -> None:
     """Run the agent until it is stopped."""
     settings = PlatformSettings.from_environment()
-    log = DecisionLog(STANDARD_OUTPUT, settings.name, read_boot_time)
     orders = EndpointOrders(settings.endpoint)
     counts = Counts()
+    log = DecisionLog(STANDARD_OUTPUT, settings.name, read_boot_time, counts)
     store = StoreClient(settings.store, settings.name, log, counts)
     process = RunAgentProcess(identify(settings), orders, store, log, counts)
     watch_settings(process, log)
--- a/src/godwitbank/_internal/platform/callers.py
+++ b/src/godwitbank/_internal/platform/callers.py
@@ -48,6 +48,7 @@
 
 
 async def _serve(process: "RunEntryProcess", request: Request) -> Response[bytes]:
+    process.core.counts.add("requests", request.method)
     path = request.scope["raw_path"].decode("latin-1").partition("?")[0]
     host = request.headers.get("host", "").partition(":")[0]
     if not process.core.routes.version:
@@ -114,6 +115,7 @@
     body: dict[str, Any],
     retry_after: float | None = None,
 ) -> Response[bytes]:
+    process.core.counts.add("answers", str(status))
     headers = {}
     if retry_after is not None:
         headers["Retry-After"] = str(math.ceil(retry_after))
--- a/src/godwitbank/_internal/platform/entry_program.py
+++ b/src/godwitbank/_internal/platform/entry_program.py
@@ -51,8 +51,8 @@
         between passes on what comes to the address that others are told.
     """
     settings = PlatformSettings.from_environment()
-    log = DecisionLog(STANDARD_OUTPUT, settings.name, read_boot_time)
     counts = Counts()
+    log = DecisionLog(STANDARD_OUTPUT, settings.name, read_boot_time, counts)
     rng = Random(os.urandom(8))
     process = RunEntryProcess(identify(settings), rng, log, counts)
     watch_settings(process, log)
