--- /dev/null
+++ b/tests/lib/runs_processor.py
@@ -0,0 +1,150 @@
+"""Processes of ``RunsWorld`` whose work takes processor time.
+
+Elsewhere in the tests a core handles an event in no time, so that a process always
+keeps up. Here each event waits for those before it, as what arrives at a socket does,
+and takes as long as it took on loopback (``/proc`` times of an entry beside stand-ins:
+2.3 ms a job of two tasks, 3.2 ms of four) divided by the process's share of a core.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from godwitbank._internal.core.events import Received, Send, Tick
+from godwitbank._internal.core.runs.events import Answer, JobSubmitted, Lagged, Note
+from godwitbank._internal.models.jobs import JobSpec
+from godwitbank._internal.models.run_messages import RunOutcome, StartRun
+from godwitbank._internal.operations.lag import ENTRY_PERIOD
+from tests.lib.runs_world import Process, RunsWorld
+
+READ_COST = 0.0005
+"""Core-seconds to read a caller's request, whatever becomes of it."""
+
+ACCEPT_COST = 0.0006
+ANSWER_COST = 0.0002
+ORDER_COST = 0.00025
+OUTCOME_COST = 0.0002
+OTHER_COST = 0.00005
+
+RESEND_SECONDS = 1.3
+"""Seconds after which a caller without an answer comes again."""
+
+
+class BusyProcess(Process):
+    """A process with a share of a core.
+
+    :param share: cores it may use.
+    """
+
+    def __init__(self, world: RunsWorld, name: str, core: Any, share: float) -> None:
+        super().__init__(world, name, core)
+        self._share = share
+        self._queue: deque[Callable[[], list[Any]]] = deque()
+        self._working = False
+        self._ask_for_timer()
+
+    def give(self, event: object) -> None:
+        """Queue an event behind those that came before."""
+        self._queue.append(lambda: self._handle(event))
+        self._work()
+
+    def _ask_for_timer(self) -> None:
+        due_at = self.world.now + ENTRY_PERIOD
+
+        def fire() -> None:
+            self._queue.append(lambda: self._tell_lag(due_at))
+            self._work()
+
+        self.world.after(ENTRY_PERIOD, fire)
+
+    def _tell_lag(self, due_at: float) -> list[Any]:
+        self._ask_for_timer()
+        return self._handle(Lagged(self.world.now - due_at))
+
+    def _handle(self, event: object) -> list[Any]:
+        actions: list[Any] = self.core.handle(event, self.world.now)
+        cost = _price(event) + sum(_price_action(action) for action in actions)
+        return [cost / self._share, *actions]
+
+    def _work(self) -> None:
+        if self._working or self.dead or not self._queue:
+            return
+        self._working = True
+        seconds, *actions = self._queue.popleft()()
+
+        def finish() -> None:
+            self._working = False
+            if not self.dead:
+                self.world.perform(self, actions)
+                self.world.schedule_wakeup(self)
+                self._work()
+
+        self.world.after(seconds, finish)
+
+
+def _price(event: object) -> float:
+    if isinstance(event, JobSubmitted):
+        return READ_COST
+    if isinstance(event, Received) and isinstance(event.message, RunOutcome):
+        return OUTCOME_COST
+    return 0.0 if isinstance(event, Tick) else OTHER_COST
+
+
+def _price_action(action: object) -> float:
+    if isinstance(action, Answer):
+        return ANSWER_COST
+    if isinstance(action, Note):
+        return ACCEPT_COST if action.event == "job_accepted" else 0.0
+    if isinstance(action, Send):
+        is_order = isinstance(action.message, StartRun)
+        return ORDER_COST if is_order else OTHER_COST
+    return 0.0
+
+
+class Asked(NamedTuple):
+    """A job, when its caller came first, and where."""
+
+    spec: JobSpec
+    at: float
+    entry: str
+
+
+class Callers:
+    """Callers who wait for a while, hang up, and come again once."""
+
+    def __init__(self, world: RunsWorld, patience: float) -> None:
+        self.asked: list[Asked] = []
+        self._world = world
+        self._patience = patience
+
+    def ask(self, entry: str, spec: JobSpec) -> None:
+        """Hand in a job."""
+        asked = Asked(spec, self._world.now, entry)
+        self.asked.append(asked)
+        self._try(asked, resends=1)
+
+    def _try(self, asked: Asked, resends: int) -> None:
+        world = self._world
+        caller = world.submit(asked.entry, asked.spec, self._patience)
+
+        def look() -> None:
+            if world.results[asked.spec.job]:
+                return
+            world.hang_up(asked.entry, caller)
+            if resends:
+                world.after(RESEND_SECONDS, lambda: self._try(asked, resends - 1))
+
+        world.after(self._patience, look)
+
+    def measure(self, asked: Asked) -> float | None:
+        """Tell the seconds until a job's first answer, if any came."""
+        told = self._world.results_at.get(asked.spec.job)
+        return told[0][1] - asked.at if told else None
+
+    def is_done(self, asked: Asked, within: float) -> bool:
+        """Tell whether a job was completed in time."""
+        told = self._world.results_at.get(asked.spec.job)
+        if not told:
+            return False
+        result, at = told[0]
+        return result.end == "completed" and at - asked.at <= within
--- a/tests/lib/runs_world.py
+++ b/tests/lib/runs_world.py
@@ -148,8 +148,10 @@
 
     # Building
 
-    def add_entry(self, name: str) -> Process:
-        """Start an entry."""
+    def add_entry(
+        self, name: str, make: Callable[["RunsWorld", str, Any], Process] = Process
+    ) -> Process:
+        """Start an entry, by default as a process that always keeps up."""
         identity = Identity(name, f"{name}#{next(self._sequence)}", name, "zone-1")
         rng = Random(self.rng.random())
         core = RunEntryCore(
@@ -159,7 +161,7 @@
             policy=self.policy,
             entries_per_agent=self.entries_per_agent,
         )
-        process = self.processes[name] = Process(self, name, core)
+        process = self.processes[name] = make(self, name, core)
         process.give(ConfigurationRead(self.configuration))
         others = [each.name for each in self._list(RunEntryCore)]
         process.give(AddressesRead(tuple(others)))
