Refuse submissions to the own interface while its entry is behind

Change: the measure of lateness stands in core/pressure.py for both kinds of work; an entry that is behind refuses with no_processor (503, Retry-After).

No load was played on the own interface.

--- a/src/godwitbank/_internal/core/runs/pressure.py
+++ b/src/godwitbank/_internal/core/pressure.py
@@ -9,8 +9,6 @@
 from collections import deque
 from typing import NamedTuple
 
-from godwitbank._internal.core.runs.events import Note
-
 WINDOW = 0.05
 """Seconds of which the least lateness counts, so that one long turn does not."""
 
@@ -44,6 +42,19 @@
     at: float
 
 
+class PressureChange(NamedTuple):
+    """A process has fallen behind, or caught up.
+
+    :param event: ``behind`` or ``caught_up``, as the log calls it.
+    :param lag: how late it is, in seconds.
+    :param seconds: how long it was behind.
+    """
+
+    event: str
+    lag: float
+    seconds: float
+
+
 class Pressure:
     """How far a process is behind.
 
@@ -60,10 +71,10 @@
         self.behind_since = math.inf
         self._samples: deque[Sample] = deque()
 
-    def observe(self, lag: float, now: float) -> Note | None:
+    def observe(self, lag: float, now: float) -> PressureChange | None:
         """Note how late a timer fired.
 
-        :return: the line to log, if the process has fallen behind or caught up by it.
+        :return: whether the process has fallen behind or caught up by it, if either.
         """
         self.mean += MEAN_WEIGHT * (lag - self.mean)
         self._samples.append(Sample(lag, now))
@@ -81,10 +92,10 @@
         least = min(each.lag for each in self._samples)
         return self.lag if least >= EMPTY else self.lag - ALLOWANCE
 
-    def _describe(self, now: float) -> Note:
-        told = round(self.lag, 3)
+    def _describe(self, now: float) -> PressureChange:
+        lag = round(self.lag, 3)
         if self.behind:
             self.behind_since = now
-            return Note("behind", "", {"lag": told})
+            return PressureChange("behind", lag, 0.0)
         seconds = round(now - self.behind_since, 3)
-        return Note("caught_up", "", {"lag": told, "s": seconds})
+        return PressureChange("caught_up", lag, seconds)
--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -19,6 +19,7 @@
     Tick,
 )
 from godwitbank._internal.core.identity import Identity, make_hello
+from godwitbank._internal.core.pressure import Pressure
 from godwitbank._internal.core.runs.addresses import ENTRIES_PER_AGENT
 from godwitbank._internal.core.runs.bulletins import Bulletins
 from godwitbank._internal.core.runs.endpoint import Endpoint
@@ -38,7 +39,6 @@
 )
 from godwitbank._internal.core.runs.links import Link, Links
 from godwitbank._internal.core.runs.moves import StreamMoves
-from godwitbank._internal.core.runs.pressure import Pressure
 from godwitbank._internal.core.runs.runner import Runner
 from godwitbank._internal.models.jobs import RunEnd
 from godwitbank._internal.models.messages import (
@@ -294,7 +294,7 @@
         change = self.pressure.observe(event.seconds, self._now)
         if change is not None:
             self.counts.add("pressure_changes", change.event)
-            self._out.append(change)
+            self._note(change.event, lag=change.lag, s=change.seconds)
 
     def _tick(self, event: Tick) -> None:
         del event
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -6,6 +6,7 @@
 
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.events import Send
+from godwitbank._internal.core.pressure import Pressure
 from godwitbank._internal.core.runs.admission import COME_BACK, HORIZONS, Admission
 from godwitbank._internal.core.runs.estimates import Estimates
 from godwitbank._internal.core.runs.events import Answer, Note, RunAction
@@ -18,7 +19,6 @@
 from godwitbank._internal.core.runs.ownership import LAPSE_SECONDS
 from godwitbank._internal.core.runs.placement import Chooser, Place
 from godwitbank._internal.core.runs.policy import DEFAULT, Policy
-from godwitbank._internal.core.runs.pressure import Pressure
 from godwitbank._internal.core.runs.waiting import WaitingTasks
 from godwitbank._internal.core.runs.work import Job, Task, TaskState
 from godwitbank._internal.models.jobs import JobEnd, JobResult, RunEnd
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -16,6 +16,7 @@
     Tick,
 )
 from godwitbank._internal.core.identity import Identity, make_hello
+from godwitbank._internal.core.pressure import Pressure
 from godwitbank._internal.core.runs.addresses import ENTRIES_PER_AGENT
 from godwitbank._internal.core.runs.admission import COME_BACK
 from godwitbank._internal.core.runs.adoption import Adoption
@@ -37,7 +38,6 @@
 from godwitbank._internal.core.runs.handover import Handover
 from godwitbank._internal.core.runs.links import Link, Links
 from godwitbank._internal.core.runs.policy import DEFAULT, Policy
-from godwitbank._internal.core.runs.pressure import Pressure
 from godwitbank._internal.core.runs.routes import RouteTable
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.jobs import (
@@ -477,7 +477,7 @@
         change = self.pressure.observe(event.seconds, self._now)
         if change is not None:
             self.counts.add("pressure_changes", change.event)
-            self._out.append(change)
+            self._note(change.event, lag=change.lag, s=change.seconds)
 
     def _tick(self, event: Tick) -> None:
         del event
--- a/src/godwitbank/_internal/core/runs/forwarding.py
+++ b/src/godwitbank/_internal/core/runs/forwarding.py
@@ -11,6 +11,7 @@
 
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.events import Send
+from godwitbank._internal.core.pressure import Pressure
 from godwitbank._internal.core.runs.admission import COME_BACK
 from godwitbank._internal.core.runs.events import (
     Answer,
@@ -19,7 +20,6 @@
     RunAction,
 )
 from godwitbank._internal.core.runs.links import Link, Links
-from godwitbank._internal.core.runs.pressure import Pressure
 from godwitbank._internal.models.jobs import JobEnd, JobResult
 from godwitbank._internal.models.run_messages import Forward, Forwarded, Withdraw
 
--- a/src/godwitbank/_internal/http/problems.py
+++ b/src/godwitbank/_internal/http/problems.py
@@ -42,6 +42,7 @@
     ),
     Reason.NOT_READY: _make_kind(503, "not ready", _AGAIN),
     Reason.STOPPING: _make_kind(503, "stopping", "submit again to another entry"),
+    Reason.NO_PROCESSOR: _make_kind(503, "no processor time left", _AGAIN),
     Reason.QUOTA: _make_kind(429, "quota exceeded", _AGAIN),
     Reason.QUEUE_FULL: _make_kind(503, "queue full", _AGAIN),
     Reason.DEADLINE_UNREACHABLE: _make_kind(503, "deadline unreachable", _AGAIN),
--- a/src/godwitbank/_internal/models/outcomes.py
+++ b/src/godwitbank/_internal/models/outcomes.py
@@ -19,6 +19,7 @@
     MISSING_REQUEST_ID = "missing_request_id"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
+    NO_PROCESSOR = "no_processor"
     QUOTA = "quota_exceeded"
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
--- a/src/godwitbank/_internal/operations/entry.py
+++ b/src/godwitbank/_internal/operations/entry.py
@@ -28,6 +28,7 @@
     WriteClaims,
 )
 from godwitbank._internal.core.identity import Identity, Timing, make_hello
+from godwitbank._internal.core.pressure import Pressure
 from godwitbank._internal.exceptions import TableError
 from godwitbank._internal.http.entry import make_app
 from godwitbank._internal.models.messages import Message, Role
@@ -37,6 +38,7 @@
 from godwitbank._internal.network.streams import StreamEvents, StreamTable
 from godwitbank._internal.network.table import Put, TableClient
 from godwitbank._internal.operations.inbox import Inbox, wait_unless_failed
+from godwitbank._internal.operations.lag import ENTRY_PERIOD, LagMeter
 from godwitbank._internal.operations.metrics import Exporter
 from godwitbank._internal.operations.registry import Registry
 from godwitbank._internal.operations.server import HttpServer
@@ -73,6 +75,8 @@
         greeting = make_hello(identity, Role.ENTRY)
         events = StreamEvents(self._inbox.put, self.core.counts.add)
         self._streams = StreamTable(events, greeting)
+        self.pressure = Pressure()
+        self._lag = LagMeter(ENTRY_PERIOD, time.monotonic, self.hear_lag)
         self._callers: dict[str, asyncio.Future[Outcome]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -89,6 +93,10 @@
         if self.draining:
             detail = "this entry is stopping"
             return Failed(submission, Reason.STOPPING, Ran.NOT_RUN, detail, 0.0)
+        if self.pressure.behind:
+            # Taken now it would be late, and make all that was taken before later.
+            detail = f"this entry is {self.pressure.lag:.3f} s behind"
+            return Failed(submission, Reason.NO_PROCESSOR, Ran.NOT_RUN, detail, 1.0)
         if not self.core.ready:
             detail = "this entry has not learnt the configuration yet"
             return Failed(submission, Reason.NOT_READY, Ran.NOT_RUN, detail, 1.0)
@@ -105,6 +113,14 @@
         finally:
             self._callers.pop(submission, None)
 
+    def hear_lag(self, seconds: float) -> None:
+        """Note how late the event loop was."""
+        self.exporter.record("loop_lag", seconds)
+        change = self.pressure.observe(seconds, time.monotonic())
+        if change is not None:
+            self.core.counts.add("pressure_changes", change.event)
+            logging.info("%s: %.3f s late", change.event, change.lag)
+
     def find_deadline(self, service: str, tasks: tuple[TaskSpec, ...]) -> float:
         """Find the longest deadline the document gives these tasks, in seconds."""
         held = self.core.catalog.find(service)
@@ -231,6 +247,7 @@
             loop.add_signal_handler(number, self.stopping.set)
         owner = asyncio.create_task(self._inbox.run())
         poller = asyncio.create_task(self._poll_table())
+        self._lag.start()
         server = await loop.create_server(
             self._streams.make_accepted, sock=stream_socket
         )
@@ -240,6 +257,7 @@
         await wait_unless_failed(self.stopping, owner)
         await self._drain(http)
         poller.cancel()
+        self._lag.stop()
         server.close()
         self._streams.close_all()
         owner.cancel()
--- a/tests/core/runs/test_pressure.py
+++ b/tests/core/test_pressure.py
@@ -1,6 +1,6 @@
 """When a process counts as behind."""
 
-from godwitbank._internal.core.runs.pressure import Pressure
+from godwitbank._internal.core.pressure import Pressure
 
 
 def observe_all(pressure: Pressure, lags: list[float], period: float) -> list[str]:
@@ -41,5 +41,5 @@
     assert pressure.observe(0.03, 100.3) is None
     change = pressure.observe(0.0, 100.5)
     assert change is not None
-    assert (change.event, change.fields["s"]) == ("caught_up", 0.5)
+    assert (change.event, change.seconds) == ("caught_up", 0.5)
     assert not pressure.behind
