Listen for the endpoint's report before the agent is imported

An endpoint reports as its VM comes up and 1.5 s later again; the agent beside it imports for 0.3 to 0.8 s before it listened.

Change: the listening socket is opened first, the report waits in its queue.

--- a/src/godwitbank/_internal/cli/entrypoints.py
+++ b/src/godwitbank/_internal/cli/entrypoints.py
@@ -104,9 +104,7 @@
 
             return partial(serve_entry, stream_bind)
         if arguments == ["agent"]:
-            from godwitbank._internal.platform.agent_program import serve_agent
-
-            return serve_agent
+            return _import_agent()
     finally:
         gc.freeze()
         gc.enable()
@@ -115,6 +113,20 @@
     )
 
 
+def _import_agent() -> Callable[[], Coroutine[Any, Any, None]]:
+    # The endpoint reports as soon as its VM is up, and 1.5 s later again. While the
+    # agent is imported its report waits in the listener's queue; refused, it left the
+    # endpoint's room unused for a second after every VM came back at once.
+    from godwitbank._internal.operations.sockets import bind
+    from godwitbank._internal.platform.settings import PlatformSettings
+
+    settings = PlatformSettings.from_environment()
+    listener = bind(settings.listen_control, "listen.control")
+    from godwitbank._internal.platform.agent_program import serve_agent
+
+    return partial(serve_agent, settings, listener)
+
+
 def run_on_platform() -> None:
     """Run the entry or the agent as the platform starts it."""
     program = Program(
--- a/src/godwitbank/_internal/platform/agent_program.py
+++ b/src/godwitbank/_internal/platform/agent_program.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import socket
 
 from aiohttp import web
 
@@ -40,16 +41,18 @@
     app.router.add_get("/metrics", show_metrics)
 
 
-async def _serve(app: web.Application, address: str, setting: str) -> web.AppRunner:
+async def _serve(app: web.Application, listener: socket.socket) -> web.AppRunner:
     runner = web.AppRunner(app, access_log=None, handle_signals=False)
     await runner.setup()
-    await web.SockSite(runner, bind(address, setting)).start()
+    await web.SockSite(runner, listener).start()
     return runner
 
 
-async def serve_agent() -> None:
-    """Run the agent until it is stopped."""
-    settings = PlatformSettings.from_environment()
+async def serve_agent(settings: PlatformSettings, reports_at: socket.socket) -> None:
+    """Run the agent until it is stopped.
+
+    :param reports_at: listening socket that the endpoint reports to.
+    """
     orders = EndpointOrders(settings.endpoint)
     counts = Counts()
     log = DecisionLog(STANDARD_OUTPUT, settings.name, read_boot_time, counts)
@@ -59,10 +62,11 @@
     reports, monitoring = web.Application(), web.Application()
     add_report_routes(reports, process)
     _add_monitoring_routes(monitoring, process)
-    servers = [await _serve(reports, settings.listen_control, "listen.control")]
+    servers = [await _serve(reports, reports_at)]
     process.learn_entries(settings.seeds)
     finder = asyncio.create_task(find_entries(store, process))
-    servers.append(await _serve(monitoring, f"{settings.ip}:{METRICS_PORT}", "metrics"))
+    metrics_at = bind(f"{settings.ip}:{METRICS_PORT}", "metrics")
+    servers.append(await _serve(monitoring, metrics_at))
     await process.run()
     finder.cancel()
     for server in servers:
