--- a/src/godwitbank/_internal/operations/server.py
+++ b/src/godwitbank/_internal/operations/server.py
@@ -15,9 +15,17 @@
 
 
 class HttpServer:
-    """A uvicorn server that leaves signals to its owner."""
+    """A uvicorn server that leaves signals to its owner.
 
-    def __init__(self, app: Any, *listeners: socket.socket) -> None:
+    :param accepts: connections that each listener takes in a turn of the loop.
+    """
+
+    def __init__(
+        self,
+        app: Any,
+        *listeners: socket.socket,
+        accepts: int = ACCEPTS_PER_TURN,
+    ) -> None:
         config = uvicorn.Config(
             app,
             http="httptools",
@@ -31,7 +39,7 @@
         self._server = uvicorn.Server(config)
         self._server.capture_signals = _leave_signals  # type: ignore
         self._listeners = [
-            listener.dup() for listener in listeners for _ in range(ACCEPTS_PER_TURN)
+            listener.dup() for listener in listeners for _ in range(accepts)
         ]
         for listener in listeners:
             listener.close()
--- a/src/godwitbank/_internal/platform/entry_program.py
+++ b/src/godwitbank/_internal/platform/entry_program.py
@@ -75,7 +75,9 @@
         each for each in (settings.listen_ready, settings.listen_control) if each
     ]
     monitoring = HttpServer(
-        _make_monitoring_app(process), *(bind(each, "listen") for each in addresses)
+        _make_monitoring_app(process),
+        *(bind(each, "listen") for each in addresses),
+        accepts=1,
     )
     await monitoring.start()
     await process.run()
--- /dev/null
+++ b/tests/core/runs/test_adoption.py
@@ -0,0 +1,47 @@
+"""Jobs of other entries' callers, as they come over a stream."""
+
+from godwitbank._internal.core.events import Send
+from godwitbank._internal.core.runs.adoption import Adoption
+from godwitbank._internal.core.runs.events import Answer
+from godwitbank._internal.models.jobs import JobEnd, JobResult, JobSpec, StepSpec
+from godwitbank._internal.models.resources import Resources
+from godwitbank._internal.models.run_messages import Forward, Forwarded
+from godwitbank._internal.network.codec import decode, encode
+
+SPEC = JobSpec(
+    "0123456789abcdef",
+    "checks",
+    "payload",
+    (
+        StepSpec(3, Resources(1600, 64, 0), 0.4),
+        StepSpec(1, Resources(100, 8, 1), 1.5, (0,), "a", "r1-3", 2, True),
+    ),
+)
+LENGTH = 4
+"""Bytes of the length before a frame's body."""
+
+
+def test_a_job_is_the_same_after_its_way_over_a_stream() -> None:
+    steps = [list(step) for step in SPEC.steps]
+    sent = Forward(SPEC.job, SPEC.queue, SPEC.payload, steps, 1.5)
+    received = decode(encode(sent)[LENGTH:])
+    assert isinstance(received, Forward)
+    event = Adoption().adopt(7, received)
+    assert (event.spec, event.patience) == (SPEC, 1.5)
+    assert event.caller < 0
+
+
+def test_answers_go_back_on_the_stream_that_the_job_came_by() -> None:
+    adoption = Adoption()
+    steps = [list(step) for step in SPEC.steps]
+    event = adoption.adopt(7, Forward(SPEC.job, SPEC.queue, "", steps, 1.5))
+    result = JobResult(SPEC.job, JobEnd.FAILED, "attempts", True)
+    own = Answer(1, result)
+    (kept, sent) = adoption.route([own, Answer(event.caller, result)])
+    assert kept is own
+    assert isinstance(sent, Send)
+    assert (sent.stream, sent.message) == (
+        7,
+        Forwarded(SPEC.job, "failed", "attempts", True, -1.0),
+    )
+    assert adoption.route([Answer(event.caller, result)]) == []
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,47 @@
+"""What callers are told, without the network."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+import msgspec
+
+from godwitbank._internal.core.counters import Counts
+from godwitbank._internal.models.jobs import JobEnd, JobResult
+from godwitbank._internal.platform.callers import make_callers_app
+
+
+def make_shedding_process(shed: list[str]) -> Any:
+    """Make the part of an entry that refuses requests unread."""
+
+    def refuse(job: str) -> JobResult:
+        shed.append(job)
+        return JobResult(job, JobEnd.REFUSED, "no_processor", False, 1.0)
+
+    core = SimpleNamespace(sheds=True, stopping=False, counts=Counts())
+    return SimpleNamespace(core=core, shed=refuse)
+
+
+def test_a_request_is_refused_unread_with_when_to_come_back() -> None:
+    # Symptom: callers of a late entry wait until their time is over. Cause: a refusal
+    # took nearly as long as a job, as the request was read, routed and decoded first.
+    shed: list[str] = []
+    app = make_callers_app(make_shedding_process(shed))
+    sent: list[dict[str, Any]] = []
+
+    async def receive() -> dict[str, Any]:
+        raise AssertionError("the request was read")
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    scope = {"type": "http", "method": "POST", "path": "/checks/0123456789abcdef"}
+    asyncio.run(app(scope, receive, send))  # type: ignore[arg-type]
+    start, body = sent
+    assert start["status"] == 503
+    headers = dict(start["headers"])
+    assert headers[b"retry-after"] == b"1"
+    content = msgspec.json.decode(body["body"])
+    assert content == {"error": "no_processor", "ran": "not_run"}
+    assert int(headers[b"content-length"]) == len(body["body"])
+    assert shed == ["0123456789abcdef"]
