--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -369,6 +369,61 @@
         "            if True:",
         f"{RUNS}/test_waiting.py::test_late_work_lets_timely_work_pass",
     ),
+    Break(
+        "no process is ever behind",
+        f"{CORE}/pressure.py",
+        "self.behind = self._measure_standing() >= limit",
+        "self.behind = False",
+        f"{RUNS}/test_behind.py::"
+        "test_callers_are_refused_at_once_while_no_entry_has_processor_time",
+    ),
+    Break(
+        "late entries keep all jobs",
+        f"{LEASED}/forwarding.py",
+        "if self._pressure.lag < FORWARD_LAG:",
+        "if True:",
+        f"{RUNS}/test_behind.py::"
+        "test_jobs_reach_the_processor_time_that_neighbours_have",
+    ),
+    Break(
+        "late agents get as much work",
+        f"{LEASED}/placement.py",
+        "        factor += view.lag / max(task.expected, SHORT_TASK)\n",
+        "",
+        f"{RUNS}/test_behind.py::test_agents_without_processor_time_get_less_work",
+    ),
+    Break(
+        "full agents are looked at",
+        f"{LEASED}/placement.py",
+        "        if not roomy:\n            return None\n",
+        "        if not roomy:\n            return self._choose_of_all(views, task)\n",
+        f"{RUNS}/test_placement.py::test_a_job_costs_no_more_while_tasks_wait_for_room",
+    ),
+    Break(
+        "jobs handed on outlive their stream",
+        f"{LEASED}/entry.py",
+        "        for gone in self._adoption.drop_stream(event.stream):\n"
+        "            self._lose_caller(gone)\n",
+        "",
+        f"{RUNS}/test_forwarding.py::"
+        "test_runs_end_when_the_entry_that_the_caller_came_to_is_lost",
+    ),
+    Break(
+        "jobs handed on are not withdrawn",
+        f"{LEASED}/forwarding.py",
+        "            self._out(Send(handed.stream, Withdraw(job)))\n",
+        "",
+        f"{RUNS}/test_forwarding.py::"
+        "test_a_job_handed_on_is_given_up_when_its_caller_hangs_up",
+    ),
+    Break(
+        "callers wait for an entry that is lost",
+        f"{LEASED}/forwarding.py",
+        '                self._give_up(job, "cut_off")',
+        "                pass",
+        f"{RUNS}/test_forwarding.py::"
+        "test_callers_are_answered_when_the_entry_that_serves_them_is_lost",
+    ),
 )
 
 
