Hand a job on for room, too, where its entry has none

Change: a job refused for want of room goes to an entry that told that nothing waits there, and the time; there it is taken if there is room twice over at that moment and nothing waits, else judged as usual.

Test: a job is refused before although the other half of the agents is idle.

--- a/src/godwitbank/_internal/core/runs/admission.py
+++ b/src/godwitbank/_internal/core/runs/admission.py
@@ -72,6 +72,11 @@
         if len(backlog) == len(HORIZONS):
             self._peers[peer] = backlog
 
+    def is_idle(self, peer: str) -> bool:
+        """Tell whether nothing waits for room at a peer, by what it told last."""
+        backlog = self._peers.get(peer)
+        return backlog is not None and not any(backlog)
+
     def forget(self, peer: str) -> None:
         """Forget a peer that is gone."""
         self._peers.pop(peer, None)
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -47,6 +47,13 @@
 silence after which the entry counts the run as lost; an agent that was suspended, or
 whose link was cut, may find the order later."""
 
+ROOM_FACTOR = 2
+"""Multiple of the room that a job of another entry's caller needs that must be free:
+others place there at the same moment."""
+
+_ROOM_ELSEWHERE = {"overload", "no_endpoint", "arriving"}
+"""Refusals for want of room at the agents met here; others meet other ones."""
+
 _NOT_STARTED = {
     RunEnd.NOT_STARTED,
     RunEnd.CLOSED,
@@ -80,6 +87,7 @@
         self._rng = rng
         self._counts = counts
         self.is_unsure: Callable[[], bool] = lambda: False
+        self.hand_on: Callable[[Job], bool] = lambda job: False
         self._waiting: dict[str, WaitingTasks] = {}
         self._limbo: list[Task] = []
         self._now = 0.0
@@ -101,6 +109,8 @@
         name = job.queue.name
         job.lay_out([self._expect(name, guess) for guess in guesses])
         refusal = self._find_refusal(job)
+        if refusal in _ROOM_ELSEWHERE and self.hand_on(job):
+            return
         if refusal is not None:
             self.refuse(job, refusal)
             return
@@ -139,10 +149,23 @@
             # job that can't wait that long would be late, and take room from others.
             waits = job.rank - self._now >= ARRIVAL_WAIT
             return None if waits or not self._policy.arrival_bound else "arriving"
+        if job.adopted and self._has_room_now(job):
+            # What waits elsewhere waits for other agents' room.
+            return None
         own = self.measure_backlog()
         tasks = self._get_waiting(job).count
         return self.admission.judge(job, own, tasks, capacity, self._now)
 
+    def _has_room_now(self, job: Job) -> bool:
+        """Tell whether there is room for a job twice over, and nothing waits for it."""
+        if self._get_waiting(job).count:
+            return False
+        views = self.fleet.list_open(job.queue.service)
+        step = max(job.spec.steps, key=lambda each: each.needs.cpu)
+        cpu = max(step.needs.cpu, 1)
+        room = sum(max(view.free.cpu, 0) // cpu for view in views)
+        return room >= ROOM_FACTOR * step.width
+
     def refuse(self, job: Job, reason: str) -> None:
         """Answer that a job has not run and was not taken."""
         self._counts.add("jobs_refused", reason)
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -113,8 +113,14 @@
             self.dispatcher, self.links, self.counts, now, rng, entries_per_agent
         )
         self.forwarding = Forwarding(
-            self.links, self.pressure, self.counts, rng, identity.zone
+            self.links,
+            self.pressure,
+            self.dispatcher.admission,
+            self.counts,
+            rng,
+            identity.zone,
         )
+        self.dispatcher.hand_on = self.forwarding.try_forward_for_room
         self.intake = Intake(
             self.routes,
             self.dispatcher,
--- a/src/godwitbank/_internal/core/runs/forwarding.py
+++ b/src/godwitbank/_internal/core/runs/forwarding.py
@@ -12,7 +12,7 @@
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.events import Send
 from godwitbank._internal.core.pressure import Pressure
-from godwitbank._internal.core.runs.admission import COME_BACK
+from godwitbank._internal.core.runs.admission import COME_BACK, Admission
 from godwitbank._internal.core.runs.events import (
     Answer,
     JobSubmitted,
@@ -20,7 +20,8 @@
     RunAction,
 )
 from godwitbank._internal.core.runs.links import Link, Links
-from godwitbank._internal.models.jobs import JobEnd, JobResult
+from godwitbank._internal.core.runs.work import Job
+from godwitbank._internal.models.jobs import JobEnd, JobResult, JobSpec
 from godwitbank._internal.models.run_messages import Forward, Forwarded, Withdraw
 
 FORWARD_LAG = 0.01
@@ -62,9 +63,16 @@
     """The jobs of this entry's callers that other entries serve."""
 
     def __init__(
-        self, links: Links, pressure: Pressure, counts: Counts, rng: Random, zone: str
+        self,
+        links: Links,
+        pressure: Pressure,
+        admission: Admission,
+        counts: Counts,
+        rng: Random,
+        zone: str,
     ) -> None:
         self._links = links
+        self._admission = admission
         self._pressure = pressure
         self._counts = counts
         self._rng = rng
@@ -105,23 +113,46 @@
         """Hand a job on, if this entry is late and another one is not."""
         if self._pressure.lag < FORWARD_LAG:
             return False
-        link = self._choose()
-        if link is None:
+        link = self._choose(list(self._list_spare()))
+        if link is not None:
+            self._hand(event.spec, [event.caller], event.patience, link, "processor")
+        return link is not None
+
+    def try_forward_for_room(self, job: Job) -> bool:
+        """Hand on a job for which there is no room here, if another entry has some.
+
+        An entry meets some of the agents only; with callers spread unevenly its agents
+        are full while others' are not. One where nothing waits has room, and the time.
+        """
+        if job.adopted:
+            # It was handed on to here already.
             return False
-        spec = event.spec
-        expires_at = self._now + event.patience + RESULT_SECONDS
-        self._handed[spec.job] = Handed([event.caller], link.stream, expires_at)
+        idle = [
+            link
+            for link in self._list_spare()
+            if self._admission.is_idle(link.hello.incarnation)
+        ]
+        link = self._choose(idle)
+        if link is not None:
+            patience = job.deadline - self._now
+            self._hand(job.spec, job.callers, patience, link, "room")
+        return link is not None
+
+    def _hand(
+        self, spec: JobSpec, callers: list[int], patience: float, link: Link, why: str
+    ) -> None:
+        expires_at = self._now + patience + RESULT_SECONDS
+        self._handed[spec.job] = Handed(list(callers), link.stream, expires_at)
         steps = [list(step) for step in spec.steps]
-        message = Forward(spec.job, spec.queue, spec.payload, steps, event.patience)
+        message = Forward(spec.job, spec.queue, spec.payload, steps, patience)
         self._out(Send(link.stream, message))
-        self._counts.add("jobs_forwarded")
+        self._counts.add("jobs_forwarded", why)
         lag = round(self._pressure.lag, 3)
         fields: dict[str, object] = {"entry": link.hello.process, "lag": lag}
+        fields["reason"] = why
         self._out(Note("job_forwarded", spec.job, fields))
-        return True
 
-    def _choose(self) -> Link | None:
-        spare = list(self._list_spare())
+    def _choose(self, spare: list[Link]) -> Link | None:
         if not spare:
             return None
         drawn = self._rng.sample(spare, min(CHOICES, len(spare)))
--- a/src/godwitbank/_internal/core/runs/work.py
+++ b/src/godwitbank/_internal/core/runs/work.py
@@ -124,6 +124,11 @@
             ends.append(before + expected[position])
         return max(ends)
 
+    @property
+    def adopted(self) -> bool:
+        """Whether its caller came to another entry; such callers are below zero."""
+        return any(caller < 0 for caller in self.callers)
+
     @property
     def work(self) -> float:
         """Expected core-seconds of the whole job."""
--- a/src/godwitbank/_internal/operations/lag.py
+++ b/src/godwitbank/_internal/operations/lag.py
@@ -7,8 +7,9 @@
 """Seconds between an entry's measurements: four in the time after which it acts on
 them, at 0.1 % of a core."""
 
-AGENT_PERIOD = 0.05
-"""The same for an agent, which only tells it."""
+AGENT_PERIOD = 0.1
+"""The same for an agent, which only tells it. It wakes up as often to prove its life
+while runs are in flight, and there are many agents: each measurement is four turns."""
 
 
 TURNS = 3
--- a/tests/core/runs/test_forwarding.py
+++ b/tests/core/runs/test_forwarding.py
@@ -1,9 +1,12 @@
 """Jobs that an entry without processor time hands on to another."""
 
 from godwitbank._internal.core.runs.events import JobCancelled, Lagged
+from godwitbank._internal.models.resources import Resources
 from tests.core.runs.test_path import make_world
 from tests.lib.runs_world import RunsWorld, make_job
 
+ENTRIES = ("entry-0", "entry-1")
+
 LATE = 0.02
 """Seconds of lateness at which an entry hands jobs on, but refuses none."""
 
@@ -141,3 +144,44 @@
     world.run(0.5)
     assert world.get_ends("j1") == ["completed"]
     assert "entry-0" in world.quiet
+
+
+def make_world_of_two_halves() -> RunsWorld:
+    """Make entries that meet one half of the agents each."""
+    world = RunsWorld(entries_per_agent=1)
+    world.add_entry("entry-0")
+    world.add_entry("entry-1")
+    for number in range(8):
+        world.add_agent(f"agent-{number}", Resources(2000, 10**6, 0))
+    world.run(3.0)
+    return world
+
+
+def test_a_job_goes_where_there_is_room_though_its_entry_has_none() -> None:
+    # Symptom: callers of one entry are refused while endpoints idle. Sequence: callers
+    # come to entries unevenly, as the balancer spreads them by a hash; each entry meets
+    # some of the agents only; those of one entry are full. Cause: only the room at the
+    # agents that an entry meets was looked at.
+    world = make_world_of_two_halves()
+    met = [len(world.processes[name].core.dispatcher.fleet.views) for name in ENTRIES]
+    assert min(met) >= 3
+    jobs = [f"j{number}" for number in range(met[0] + 4)]
+    for job in jobs:
+        world.submit("entry-0", make_job(job, seconds=1.0, cpu=2000))
+        world.run(0.25 if job == jobs[met[0]] else 0.01)
+    world.run(4.0)
+    assert [world.get_ends(job) for job in jobs] == [["completed"]] * len(jobs)
+
+
+def test_a_job_is_refused_at_once_while_all_entries_are_full() -> None:
+    world = make_world_of_two_halves()
+    for number in range(24):
+        world.submit(ENTRIES[number % 2], make_job(f"old{number}", seconds=9, cpu=2000))
+    world.run(0.5)
+    late = [f"late{number}" for number in range(4)]
+    for job in late:
+        world.submit("entry-0", make_job(job, seconds=0.3, cpu=2000))
+        world.run(0.01)
+    results = [result for job in late for result in world.results[job]]
+    assert len(results) >= 2
+    assert {(result.end, result.ran) for result in results} == {("refused", False)}
