--- a/tests/lib/runs_processor.py
+++ b/tests/lib/runs_processor.py
@@ -24,15 +24,31 @@
 """The same for a request that is refused without being read."""
 
 ACCEPT_COST = 0.0006
+"""Core-seconds to take a job."""
+
 ANSWER_COST = 0.0002
+"""Core-seconds to answer a caller."""
+
 ORDER_COST = 0.00025
+"""Core-seconds to choose an agent and send it an order."""
+
 OUTCOME_COST = 0.0002
+"""Core-seconds to act on the end of a run."""
+
 OTHER_COST = 0.00005
+"""Core-seconds of any other frame, heard or sent."""
 
 RESEND_SECONDS = 1.3
 """Seconds after which a caller without an answer comes again."""
 
 
+class Turn(NamedTuple):
+    """What one event led to, and how long it kept the processor, in seconds."""
+
+    seconds: float
+    actions: list[Any]
+
+
 class BusyProcess(Process):
     """A process with a share of a core.
 
@@ -42,7 +58,7 @@
     def __init__(self, world: RunsWorld, name: str, core: Any, share: float) -> None:
         super().__init__(world, name, core)
         self._share = share
-        self._queue: deque[Callable[[], list[Any]]] = deque()
+        self._queue: deque[Callable[[], Turn]] = deque()
         self._working = False
         self._ask_for_timer()
 
@@ -60,34 +76,34 @@
 
         self.world.after(ENTRY_PERIOD, fire)
 
-    def _tell_lag(self, due_at: float) -> list[Any]:
+    def _tell_lag(self, due_at: float) -> Turn:
         self._ask_for_timer()
         return self._handle(Lagged(self.world.now - due_at))
 
-    def _handle(self, event: object) -> list[Any]:
+    def _handle(self, event: object) -> Turn:
         if isinstance(event, JobSubmitted) and self.core.sheds:
             # As the programs do, ahead of the core.
             job = event.spec.job
             result = JobResult(job, JobEnd.REFUSED, "no_processor", False, 1.0)
-            return [SHED_COST / self._share, Answer(event.caller, result)]
+            return Turn(SHED_COST / self._share, [Answer(event.caller, result)])
         actions: list[Any] = self.core.handle(event, self.world.now)
         cost = _price(event) + sum(_price_action(action) for action in actions)
-        return [cost / self._share, *actions]
+        return Turn(cost / self._share, actions)
 
     def _work(self) -> None:
         if self._working or self.dead or not self._queue:
             return
         self._working = True
-        seconds, *actions = self._queue.popleft()()
+        turn = self._queue.popleft()()
 
         def finish() -> None:
             self._working = False
             if not self.dead:
-                self.world.perform(self, actions)
+                self.world.perform(self, turn.actions)
                 self.world.schedule_wakeup(self)
                 self._work()
 
-        self.world.after(seconds, finish)
+        self.world.after(turn.seconds, finish)
 
 
 def _price(event: object) -> float:
