Known red: seed 198 of the exploration with late entries

Traced: nothing of the job was handed on; an agent cut off from the entry that claims the job counts as dead after 50 ms.

--- a/tests/core/runs/test_exploration.py
+++ b/tests/core/runs/test_exploration.py
@@ -42,6 +42,15 @@
 )
 """Seeds of the exploration with patient callers that once failed, with their cause."""
 
+FOUND_PRESSED = (
+    # Within half a second an entry wakes up after two seconds, is cut off from one
+    # agent, and the entry that took the job meanwhile loses its power. The first one
+    # starts the job when the agents that it reaches have answered its claim; it runs on
+    # at the one that it doesn't. Nothing of it was handed on.
+    198,
+)
+"""Seeds of the exploration with entries that are late that once failed."""
+
 SEEDS = range(40)
 ENTRIES = ("entry-0", "entry-1", "entry-2")
 AGENTS = ("agent-0", "agent-1", "agent-2", "agent-3")
@@ -396,7 +405,7 @@
     explore(Explorer(seed, size=WIDE))
 
 
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", [*SEEDS, *FOUND_PRESSED])
 def test_nothing_runs_twice_while_jobs_are_handed_on(seed: int) -> None:
     explore(PressedExplorer(seed))
 
