Keep the platform's name of the control address in its adapter

Change: settings are read and the socket opened in platform/listening.py. The same calls in the same order.

--- a/src/godwitbank/_internal/cli/entrypoints.py
+++ b/src/godwitbank/_internal/cli/entrypoints.py
@@ -117,14 +117,12 @@
     # The endpoint reports as soon as its VM is up, and 1.5 s later again. While the
     # agent is imported its report waits in the listener's queue; refused, it left the
     # endpoint's room unused for a second after every VM came back at once.
-    from godwitbank._internal.operations.sockets import bind
-    from godwitbank._internal.platform.settings import PlatformSettings
+    from godwitbank._internal.platform.listening import listen_for_reports
 
-    settings = PlatformSettings.from_environment()
-    listener = bind(settings.listen_control, "listen.control")
+    listening = listen_for_reports()
     from godwitbank._internal.platform.agent_program import serve_agent
 
-    return partial(serve_agent, settings, listener)
+    return partial(serve_agent, listening.settings, listening.reports_at)
 
 
 def run_on_platform() -> None:
