--- a/src/godwitbank/_internal/operations/entry.py
+++ b/src/godwitbank/_internal/operations/entry.py
@@ -50,6 +50,10 @@
 CLAIM_TTL = 7 * 24 * 3600.0
 """Seconds a claim is kept; request ids must not be reused later."""
 
+LATE_SECONDS = 1.0
+"""Seconds of lateness from which submissions are refused. Deadlines here are seconds;
+a burst of callers that makes the loop late by tenths of a second is served in time."""
+
 
 class EntryProcess:
     """One entry."""
@@ -93,7 +97,7 @@
         if self.draining:
             detail = "this entry is stopping"
             return Failed(submission, Reason.STOPPING, Ran.NOT_RUN, detail, 0.0)
-        if self.pressure.behind:
+        if self.pressure.behind and self.pressure.lag >= LATE_SECONDS:
             # Taken now it would be late, and make all that was taken before later.
             detail = f"this entry is {self.pressure.lag:.3f} s behind"
             return Failed(submission, Reason.NO_PROCESSOR, Ran.NOT_RUN, detail, 1.0)
