--- a/src/godwitbank/_internal/operations/lag.py
+++ b/src/godwitbank/_internal/operations/lag.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 ENTRY_PERIOD = 0.025
-"""Seconds between an entry's measurements: four in the time after which it acts on
-them, at 0.1 % of a core."""
+"""Seconds between an entry's measurements: two within the time of which it takes the
+least late one."""
 
 AGENT_PERIOD = 0.1
 """The same for an agent, which only tells it. It wakes up as often to prove its life
