--- a/tests/core/runs/test_placement.py
+++ b/tests/core/runs/test_placement.py
@@ -33,7 +33,7 @@
     # some tasks wait; jobs come. Cause: each job that came, and each look at deadlines,
     # tried up to eight waiting tasks at every agent; a job took the entry twice the
     # processor time just when there was none to spare.
-    # Evidence: with this mended as well, no entry was late for 30 ms on the day on which
+    # Evidence: with this mended too, no entry was late for 30 ms on the day on which
     # the entries of one zone had been late for a third of a second from 6 s on.
     world = make_full_world()
     looks: Counter[str] = Counter()
