Grant no lease longer than the entries of its runs are known to have lived

Cause: agents renewed an endpoint's lease by a second each time, also while they had not heard of an entry for up to 0.7 s. Change: an entry's proof of life carries the agent's own clock as it was known at the sending (a lower bound, whatever the delay); a lease ends 1.0 s after the oldest proof of the entries whose runs are there. Conclusion: a bound that holds without asking anybody, below the 1.3 s after which callers come again, so it stays.

--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -50,6 +50,7 @@
 )
 from godwitbank._internal.models.resources import Resources
 from godwitbank._internal.models.run_messages import (
+    Alive,
     Claim,
     EndpointNews,
     Holding,
@@ -125,7 +126,7 @@
             StopRun: self.runner.stop_run,
             Claim: self.runner.claim,
             Peers: self._hear_peers,
-            Pulse: self._ignore,
+            Alive: self._hear_alive,
         }
 
     def handle(self, event: object, now: float) -> list[RunAction]:
@@ -137,7 +138,9 @@
             self._drop_link(link.stream, "stood_still")
         self._handlers[type(event)](event)
         self.runner.start_parked()
-        self._out += self.endpoint.list_renewals(now, bool(self.shelf.list_placed()))
+        self._out += self.endpoint.list_renewals(
+            now, bool(self.shelf.placed_owners), self.runner.find_lease_end()
+        )
         self._tell_all()
         self.runner.answer_claims()
         self._check_quiet()
@@ -229,6 +232,7 @@
         self._note("entry_lost", entry=link.hello.process)
         if self.links.find(link.hello.incarnation) is None:
             self.runner.stop_owned(link.hello.incarnation)
+            self.runner.forget_lives()
 
     def _receive(self, event: Received) -> None:
         link = self.links.hear(event.stream, self._now)
@@ -246,8 +250,8 @@
         self._out.append(CloseStream(stream, reason))
         self._close(StreamClosed(stream))
 
-    def _ignore(self, link: Link, message: Message) -> None:
-        del link, message
+    def _hear_alive(self, link: Link, message: Alive) -> None:
+        self.runner.prove_life(link, message.clock)
 
     # The endpoint itself
 
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -16,7 +16,7 @@
     AgentView,
     Fleet,
 )
-from godwitbank._internal.core.runs.ownership import LAPSE_SECONDS
+from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
 from godwitbank._internal.core.runs.placement import Chooser, Place
 from godwitbank._internal.core.runs.policy import DEFAULT, Policy
 from godwitbank._internal.core.runs.waiting import WaitingTasks
@@ -42,11 +42,6 @@
 """Seconds of rank behind every timely task; what has been late for longer comes
 after what is late for less, as it is less likely to be of use still."""
 
-START_SECONDS = 0.7
-"""Seconds after which an order to start that is still on its way is void. It is the
-silence after which the entry counts the run as lost; an agent that was suspended, or
-whose link was cut, may find the order later."""
-
 ROOM_FACTOR = 2
 """Multiple of the room that a job of another entry's caller needs that must be free:
 others place there at the same moment."""
@@ -296,7 +291,7 @@
             rules.spread,
             task.checkpoint,
             parked,
-            view.link.read_clock(self._now) + START_SECONDS,
+            view.link.read_clock(self._now),
         )
         self._out(Send(view.stream, order))
 
--- a/src/godwitbank/_internal/core/runs/endpoint.py
+++ b/src/godwitbank/_internal/core/runs/endpoint.py
@@ -201,14 +201,17 @@
 
     # Orders
 
-    def make_start(self, order: StartRun, now: float) -> Start:
-        """Make the order to start a run."""
+    def make_start(self, order: StartRun, now: float, ends_by: float) -> Start:
+        """Make the order to start a run.
+
+        :param ends_by: when everything here must be over unless it is renewed.
+        """
         return Start(
             self.instance,
             order.task,
             order.run,
             order.payload,
-            self.clock.grant(now),
+            self.clock.grant(now, ends_by),
             self.token,
             order.checkpoint,
             self.patience,
@@ -218,17 +221,19 @@
         """Make the order to stop a run."""
         return Stop(self.instance, task, run, self.token)
 
-    def list_renewals(self, now: float, busy: bool) -> list[Renew]:
+    def list_renewals(self, now: float, busy: bool, ends_by: float) -> list[Renew]:
         """List the lease renewals to send now.
 
         One waits at the endpoint for an end at any time while something runs;
         a raised token is made known at once by a second that doesn't wait.
+
+        :param ends_by: when everything here must be over unless it is renewed again.
         """
         self._now = now
         if not self.instance:
             return []
         if self._successor is not None and self._probe is None:
-            probe = self._renew(now, 0)
+            probe = self._renew(now, 0, ends_by)
             self._probe = probe.renewal
             return [probe]
         if now < self._renew_at:
@@ -237,19 +242,19 @@
         if urgent:
             if any(each.token == self.token for each in self._renewals.values()):
                 return []
-            return [self._renew(now, 0)]
+            return [self._renew(now, 0, ends_by)]
         if not busy or self._renewals:
             return []
-        return [self._renew(now, int(RENEWAL_WAIT * 1000))]
+        return [self._renew(now, int(RENEWAL_WAIT * 1000), ends_by)]
 
-    def _renew(self, now: float, wait: int) -> Renew:
+    def _renew(self, now: float, wait: int, ends_by: float) -> Renew:
         self._next_renewal += 1
         number = self._next_renewal
         # What a former agent started must not live on by this agent's lease. And
         # an endpoint that doesn't answer gets no longer lease: the last one must
         # run out before its runs count as lost.
         grants = not self._inherits and self._unanswered < DEAF_RENEWALS
-        until = self.clock.grant(now) if grants else None
+        until = self.clock.grant(now, ends_by) if grants and ends_by > now else None
         self._renewals[number] = Renewal(self.token, now)
         return Renew(
             number,
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -50,6 +50,7 @@
     Role,
 )
 from godwitbank._internal.models.run_messages import (
+    Alive,
     Claimed,
     EndpointNews,
     Forward,
@@ -417,7 +418,7 @@
         self._dial()
         self._tell_news()
         for link in self.links.list_unproved(self._now):
-            self._send(link.stream, Pulse([], 1.0, self._now, math.inf))
+            self._send(link.stream, Alive(link.read_clock(self._now)))
         peers = self.links.list_unproved_peers(self._now)
         if peers:
             self._tell_peers(peers)
--- a/src/godwitbank/_internal/core/runs/held.py
+++ b/src/godwitbank/_internal/core/runs/held.py
@@ -72,12 +72,19 @@
 """
 
 
+def _count_down(counter: Counter[str], owner: str) -> None:
+    counter[owner] -= 1
+    if not counter[owner]:
+        del counter[owner]
+
+
 class Shelf:
     """Runs at one agent: those that wait, by rank, and those that take room."""
 
     def __init__(self) -> None:
         self.runs: dict[str, HeldRun] = {}
         self.owners: Counter[str] = Counter()
+        self.placed_owners: Counter[str] = Counter()
         self.capacity = Resources()
         self.used = Resources()
         self.parked_needs = Resources()
@@ -103,6 +110,7 @@
         """Take the room for a parked run."""
         self._unpark(held)
         self.used += held.needs
+        self.placed_owners[held.owner] += 1
         held.state = RunState.ORDERED
 
     def remove(self, held: HeldRun) -> None:
@@ -110,13 +118,12 @@
         if self.runs.get(held.order.task) is not held:
             return
         del self.runs[held.order.task]
-        self.owners[held.owner] -= 1
-        if not self.owners[held.owner]:
-            del self.owners[held.owner]
+        _count_down(self.owners, held.owner)
         if held.state is RunState.PARKED:
             self._unpark(held)
         else:
             self.used -= held.needs
+            _count_down(self.placed_owners, held.owner)
 
     def _unpark(self, held: HeldRun) -> None:
         self.parked -= 1
--- a/src/godwitbank/_internal/core/runs/lease.py
+++ b/src/godwitbank/_internal/core/runs/lease.py
@@ -1,4 +1,9 @@
-"""The lease of everything that runs at an endpoint, on the endpoint's clock."""
+"""The lease of everything that runs at an endpoint, on the endpoint's clock.
+
+A lease is granted on behalf of the entries whose runs are there, and never longer than
+they are known to have lived. So what an entry ordered ends ``LAPSE_SECONDS`` after the
+entry at the latest, whatever has become of the agent between them.
+"""
 
 import math
 
@@ -13,6 +18,19 @@
 its answers travel, a little later than its clock says."""
 
 
+LIFE_SECONDS = 1.0
+"""Seconds for which what an entry ordered may outlive the entry's last proof of life.
+Above the silence after which agents stop an entry's runs, with time for the stop: what
+others run at the endpoint must not lapse with them."""
+
+LAPSE_SECONDS = LIFE_SECONDS + LAPSE_SLACK
+"""Seconds after an entry's last proof of life by which nothing runs for it any more."""
+
+MIN_LEASE = 0.1
+"""Seconds of the shortest lease that is granted for a new run; the order must arrive
+before it ends."""
+
+
 class EndpointClock:
     """An endpoint's clock as last told, and when all that it runs has lapsed."""
 
@@ -37,12 +55,16 @@
         """Estimate the endpoint's clock now, in milliseconds."""
         return (self._told or 0) + int((now - self._told_at) * 1000)
 
-    def grant(self, now: float, seconds: float = MAX_LEASE) -> int:
+    def grant(self, now: float, ends_by: float) -> int:
         """Choose the end of a lease that begins now, and remember it.
 
         Remembered even if no answer comes: the order may have been carried out.
+
+        :param ends_by: when the lease must be over, however slow the endpoint's clock.
         """
-        until = self.read(now) + int(seconds * 1000)
+        allowed = (ends_by - self._told_at) * (1 - CLOCK_SKEW)
+        seconds = min(now - self._told_at + MAX_LEASE, allowed)
+        until = (self._told or 0) + int(seconds * 1000)
         left = (until - (self._told or 0)) / 1000 / (1 - CLOCK_SKEW)
         self.lapsed_at = max(self.lapsed_at, self._told_at + left + LAPSE_SLACK)
         return until
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -11,6 +11,7 @@
 from godwitbank._internal.core.events import Send
 from godwitbank._internal.core.runs.addresses import Addresses
 from godwitbank._internal.models.messages import Hello, Role
+from godwitbank._internal.models.run_messages import Alive, StartRun
 
 PULSE = 0.2
 """Seconds between proofs of life on a busy stream; three fit into ``SILENCE``."""
@@ -66,6 +67,8 @@
 
     :ivar busy_since: when the first of the runs in flight was sent on it; infinite
         while there is none.
+    :ivar proved_at: this end's clock when its other end is known to have lived: frames
+        may have been held up. Infinite where nothing depends on it.
     :ivar received: orders to start received on it.
     :ivar told_slowness: what its other end was told last of this end's endpoint.
     :ivar told_lag: how late its other end was told that this end is, in seconds.
@@ -77,6 +80,7 @@
         "stream",
         "hello",
         "heard_at",
+        "proved_at",
         "sent_at",
         "busy_since",
         "dialled",
@@ -94,6 +98,7 @@
         self.hello = hello
         self.dialled = dialled
         self.heard_at = now
+        self.proved_at = math.inf
         self.sent_at = now
         self.busy_since = math.inf
         self.received = 0
@@ -171,6 +176,8 @@
             self.addresses.forget(dialled)
             return None
         link = self._by_stream[stream] = Link(stream, hello, dialled, now)
+        if not self._is_entry:
+            link.proved_at = -math.inf
         self._by_incarnation.setdefault(hello.incarnation, []).append(link)
         if hello.role == Role.ENTRY:
             self.addresses.open(hello.address, dialled, now)
@@ -217,7 +224,8 @@
             return now - heard_at > limit
         if link.busy_since < math.inf:
             # Until work was sent nothing had to be heard.
-            return now - max(heard_at, link.busy_since) > SILENCE
+            lived_at = min(heard_at, link.proved_at)
+            return now - max(lived_at, link.busy_since) > SILENCE
         return now - heard_at > IDLE_SILENCE
 
     def list_silent(self, now: float) -> list[Link]:
@@ -230,13 +238,19 @@
         return same[-1] if same else None
 
     def note_sent(self, actions: Iterable[object], now: float) -> None:
-        """Note which streams carry a frame now: it proves life as well as a pulse."""
+        """Note which streams carry a frame now that proves life as well as a pulse."""
         for action in actions:
             if isinstance(action, Send):
                 link = self._by_stream.get(action.stream)
-                if link is not None:
+                if link is not None and self._proves_life(link, action):
                     link.sent_at = now
 
+    def _proves_life(self, link: Link, action: Send) -> bool:
+        # Agents grant leases for as long as an entry is known to have lived; a frame
+        # that doesn't tell when it was sent may be old.
+        to_agent = self._is_entry and link.hello.role == Role.AGENT
+        return not to_agent or isinstance(action.message, (Alive, StartRun))
+
     def list_unproved(self, now: float) -> list[Link]:
         """List the streams on which a proof of life is due, once in ``LOOK``."""
         if now < self.look_at:
--- a/src/godwitbank/_internal/core/runs/ownership.py
+++ b/src/godwitbank/_internal/core/runs/ownership.py
@@ -9,6 +9,8 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
+
 REMEMBER_SECONDS = 12.0
 """Seconds a taking and a lost peer are remembered; longer than callers wait (10 s)
 and the 1.3 s after which they submit again."""
@@ -21,14 +23,6 @@
 stopping of a run takes 50 ms. Longer waits for agents that were dark made every job
 late while an entry was missing, too."""
 
-LAPSE_SECONDS = 1.4
-"""Seconds after an entry or an agent fell silent by which its runs are gone.
-
-Agents stop the runs of an entry they haven't heard of for ``SILENCE`` (0.7 s),
-in 0.1 s; an agent that is itself suspended or dead lets the lease lapse, 1.0 s
-and 2 % of it at the longest. Added to that, 0.3 s for delays on the way.
-"""
-
 
 class Taking(NamedTuple):
     """A peer took a job."""
--- a/src/godwitbank/_internal/core/runs/runner.py
+++ b/src/godwitbank/_internal/core/runs/runner.py
@@ -19,8 +19,14 @@
     StartAnswered,
 )
 from godwitbank._internal.core.runs.held import HeldRun, RunState, Shelf
-from godwitbank._internal.core.runs.lease import CLOCK_SKEW, LAPSE_SLACK, MAX_LEASE
+from godwitbank._internal.core.runs.lease import (
+    CLOCK_SKEW,
+    LAPSE_SLACK,
+    MAX_LEASE,
+    MIN_LEASE,
+)
 from godwitbank._internal.core.runs.links import Link, Links
+from godwitbank._internal.core.runs.lives import Lives
 from godwitbank._internal.core.runs.outbox import Outbox
 from godwitbank._internal.core.runs.progress import Sample, Slowness
 from godwitbank._internal.core.runs.verdicts import HoldVerdict, StartVerdict
@@ -40,6 +46,11 @@
 """Ended runs that are remembered: answers to renewals may overtake each other,
 and an older one still lists as running what a newer one told as ended."""
 
+ORDER_SECONDS = 0.7
+"""Seconds after which an order to start that is still on its way is void. It is the
+silence after which its entry counts the run as lost; an agent that was suspended, or
+whose link was cut, may find the order later."""
+
 STOP_RETRY = 0.3
 """Seconds after which a stop whose end wasn't listed is ordered again."""
 
@@ -73,6 +84,7 @@
         self._lose_endpoint = lose_endpoint
         self._booted_at = now
         self._claims = Claims()
+        self._lives = Lives()
         self._settled: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._now = now
         self._out: list[RunAction] = []
@@ -87,6 +99,20 @@
         """Whether new runs are taken."""
         return self._endpoint.open and not self.stopping
 
+    def prove_life(self, link: Link, at: float) -> None:
+        """Note that an entry lived at a moment, on the clock of this agent."""
+        link.proved_at = max(link.proved_at, at)
+        self._lives.prove(link.hello.incarnation, at)
+
+    def forget_lives(self) -> None:
+        """Forget the proofs of life on which nothing depends any more."""
+        linked = {link.hello.incarnation for link in self._links}
+        self._lives.keep(linked | set(self.shelf.owners))
+
+    def find_lease_end(self) -> float:
+        """Tell when what runs here must be over, unless its entries are heard again."""
+        return self._lives.find_end(self.shelf.placed_owners)
+
     def list_owned(self, owner: str) -> list[str]:
         """List the tasks of which a run of an entry is held."""
         return [
@@ -125,6 +151,7 @@
     def start(self, link: Link, order: StartRun) -> None:
         """Take an order to start a run, or tell at once why not."""
         link.received += 1
+        self.prove_life(link, order.sent_at)
         held = HeldRun(order, link.hello.incarnation, self._now)
         present = self.shelf.runs.get(order.task)
         if present is not None:
@@ -132,7 +159,7 @@
                 # Another run of the task may still be alive here.
                 self._tell_outcome(held, RunEnd.NOT_STARTED)
             return
-        if self._now > order.start_by:
+        if self._now - order.sent_at > ORDER_SECONDS:
             self._counts.add("orders_too_old")
             self._tell_outcome(held, RunEnd.NOT_STARTED)
             return
@@ -158,18 +185,23 @@
         """Order what waits here, as far as there is room."""
         if not self.open:
             return
-        while self.shelf.parked:
+        while self.shelf.parked and self._may_grant_leases():
             held = self.shelf.choose()
             if held is None:
                 return
             self.shelf.occupy(held)
             self._order(held)
 
+    def _may_grant_leases(self) -> bool:
+        # While an entry is silent whose runs are still here, a new run would lapse
+        # with them.
+        return self.find_lease_end() - self._now >= MIN_LEASE
+
     def _order(self, held: HeldRun) -> None:
         held.state = RunState.ORDERED
         held.ordered_at = self._now
         held.progress.restart(self._now)
-        action = self._endpoint.make_start(held.order, self._now)
+        action = self._endpoint.make_start(held.order, self._now, self.find_lease_end())
         held.token = action.token
         self._counts.add("starts_ordered")
         waited = round(self._now - held.arrived_at, 4)
@@ -236,7 +268,7 @@
             self._settle(held, _UNSTARTED[verdict])
 
     def _order_again(self, held: HeldRun, verdict: StartVerdict) -> None:
-        if held.stop_reason:
+        if held.stop_reason or not self._may_grant_leases():
             self._settle(held, RunEnd.NOT_STARTED)
             return
         if verdict is StartVerdict.FENCED and held.token >= self._endpoint.token:
--- a/src/godwitbank/_internal/models/messages.py
+++ b/src/godwitbank/_internal/models/messages.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from godwitbank._internal.models.run_messages import (
+    Alive,
     Claim,
     Claimed,
     EndpointNews,
@@ -32,7 +33,7 @@
 )
 from godwitbank._internal.models.tasks import TaskKey
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 
 
 class Refusal(StrEnum):
@@ -312,6 +313,7 @@
     | EndpointNews
     | Room
     | Pulse
+    | Alive
     | Rules
     | Took
     | Yield
@@ -368,4 +370,5 @@
     Forward,
     Forwarded,
     Withdraw,
+    Alive,
 )
--- a/src/godwitbank/_internal/models/run_messages.py
+++ b/src/godwitbank/_internal/models/run_messages.py
@@ -14,8 +14,8 @@
     :param checkpoint: where to resume, or an empty string.
     :param parks: whether it may wait at the agent for room. Otherwise it comes back
         at once if there is none: its entry may know of room elsewhere.
-    :param start_by: the agent's clock after which the order is too old to act on;
-        its entry has given up on it then.
+    :param sent_at: what the agent's clock showed at least when this was sent. It tells
+        the order's age, and proves that its entry lived then.
     """
 
     task: str
@@ -29,7 +29,7 @@
     spread: int
     checkpoint: str
     parks: bool
-    start_by: float
+    sent_at: float
 
 
 class StopRun(NamedTuple):
@@ -130,6 +130,16 @@
     lag: float
 
 
+class Alive(NamedTuple):
+    """Proof of an entry's life to an agent.
+
+    :param clock: what the agent's clock showed at least when this was sent. A proof
+        that was held up on its way is as old as that, however late it arrives.
+    """
+
+    clock: float
+
+
 class Rules(NamedTuple):
     """An accepted configuration, each queue as a list of its fields."""
 
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -233,11 +233,19 @@
     Break(
         "orders of any age are carried out",
         f"{LEASED}/runner.py",
-        "if self._now > order.start_by:",
+        "if self._now - order.sent_at > ORDER_SECONDS:",
         "if False:",
         f"{RUNS}/test_meeting.py::"
         "test_an_order_older_than_its_entrys_patience_starts_nothing",
     ),
+    Break(
+        "leases are granted however long ago entries lived",
+        f"{LEASED}/lives.py",
+        "        return min(proofs, default=math.inf) + LIFE_SECONDS",
+        "        return math.inf",
+        f"{RUNS}/test_takeovers.py::"
+        "test_runs_end_with_their_entry_though_their_agent_dies_before_it_stops_them",
+    ),
     Break(
         "nobody is asked for a lost entry",
         f"{LEASED}/handover.py",
--- a/tests/core/runs/test_exploration.py
+++ b/tests/core/runs/test_exploration.py
@@ -39,9 +39,22 @@
     # its runs is killed, and its entry is killed and back at once. The new process
     # took the job again while the run lived on under the killed agent's lease.
     320,
+    # An entry that had been suspended started its job again before it had heard that
+    # another one had taken it meanwhile.
+    20327,
 )
 """Seeds of the exploration with patient callers that once failed, with their cause."""
 
+FOUND_WIDE = (
+    # An entry loses its power, the one that knew of its job a moment later, and an
+    # agent that runs the job is killed just before it notices. The entries left were
+    # started afterwards; for them the first one is gone, and the job starts at once.
+    # Runs lived on for as long as their agent had granted, not for as long as their
+    # entry was known to have lived.
+    8143,
+)
+"""Seeds of the exploration in a wide fleet that once failed, with their cause."""
+
 FOUND_PRESSED = (
     # Within half a second an entry wakes up after two seconds, is cut off from one
     # agent, and the entry that took the job meanwhile loses its power. The first one
@@ -400,7 +413,7 @@
     explore(Explorer(seed))
 
 
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", [*SEEDS, *FOUND_WIDE])
 def test_nothing_runs_twice_where_agents_meet_some_entries_only(seed: int) -> None:
     explore(Explorer(seed, size=WIDE))
 
--- /dev/null
+++ b/tests/core/runs/test_takeovers.py
@@ -0,0 +1,91 @@
+"""A job whose caller comes to another entry while its first runs can't be reached.
+
+``RunsWorld`` checks after every step that no task runs twice at once.
+"""
+
+import pytest
+
+from tests.core.runs.test_failures import find_agents
+from tests.core.runs.test_path import make_world
+from tests.lib.runs_world import RunsWorld, make_job
+
+RESUBMIT_SECONDS = 1.3
+"""Seconds after a broken connection at which callers submit again."""
+
+JOB = make_job("j1", width=16, seconds=1.8)
+
+
+def run_until(world: RunsWorld, at: float) -> None:
+    """Let time pass up to a moment."""
+    world.run(at - world.now)
+
+
+def kill_and_restart_entries(world: RunsWorld, *entries: str) -> None:
+    """Kill entries, and start them again 0.2 s later with no memory of anything."""
+    for entry in entries:
+        world.kill(entry)
+        world.after(0.2, lambda entry=entry: world.add_entry(entry))
+
+
+@pytest.mark.parametrize("agent_dies", [0.1, 0.3, 0.45, 0.6, 0.68])
+def test_runs_end_with_their_entry_though_their_agent_dies_before_it_stops_them(
+    agent_dies: float,
+) -> None:
+    # Symptom: a task runs at two endpoints. Sequence: an agent is cut off from its
+    # entry; the entry is killed, which the agent doesn't see; it goes on renewing the
+    # lease, and is killed itself before the silence tells it. The entries that knew of
+    # the job are killed, too. Its caller comes again after 1.3 s; nobody knows of the
+    # job, and it starts while the first runs live on under the dead agent's lease.
+    # Cause: that lease was granted for a second from each renewal, however long ago the
+    # entry had lived: runs outlived it by the silence and the lease, 1.7 s. The log
+    # shows the agent's last renewals after the entry's end, and its endpoint's run
+    # listed beside the new one.
+    world = make_world(entries=3, agents=4)
+    world.submit("entry-0", JOB)
+    world.run(0.1)
+    agent = find_agents(world, "j1")[0]
+    world.cut_link("entry-0", agent)
+    world.run(0.01)
+    killed_at = world.now
+    world.kill("entry-0")
+    world.after(0.7, lambda: world.add_entry("entry-0"))
+    run_until(world, killed_at + agent_dies)
+    world.kill(agent)
+    run_until(world, killed_at + 0.69)
+    kill_and_restart_entries(world, "entry-1", "entry-2")
+    run_until(world, killed_at + RESUBMIT_SECONDS)
+    world.submit("entry-0", JOB)
+    world.heal()
+    world.add_agent(agent)
+    world.run(8.0)
+    assert "completed" in world.get_ends("j1")
+
+
+@pytest.mark.parametrize("agent_dies", [0.3, 0.5, 0.6, 0.68])
+def test_runs_end_with_their_entry_where_agents_meet_some_entries_only(
+    agent_dies: float,
+) -> None:
+    # Symptom, cause: as above. Sequence: an entry loses its power; an agent that runs
+    # its job is killed just before it would have noticed; all that knew of the job are
+    # gone as well. The caller's connection broke unnoticed a moment before; its new
+    # entry asks others, for whom the first one is gone, and starts the job at once.
+    world = RunsWorld(entries_per_agent=2)
+    for number in range(5):
+        world.add_entry(f"entry-{number}")
+    for number in range(12):
+        world.add_agent(f"agent-{number}")
+    world.run(3.0)
+    world.submit("entry-2", JOB)
+    world.run(0.4)
+    agent = find_agents(world, "j1")[0]
+    broke_at = world.now
+    world.run(0.05)
+    darkened_at = world.now
+    world.darken("entry-2")
+    kill_and_restart_entries(world, "entry-0", "entry-1", "entry-3", "entry-4")
+    run_until(world, darkened_at + agent_dies)
+    world.kill(agent)
+    run_until(world, broke_at + RESUBMIT_SECONDS)
+    world.submit("entry-3", JOB)
+    world.run(8.0)
+    assert "completed" in world.get_ends("j1")
