Let an entry that stood still begin anew

Cause: an entry counted as knowing what others have taken once and for all, and after 0.7 s and more without a turn it went on with its own jobs before it had heard that another entry had taken them. Change: on waking it answers its jobs as given up, and is not informed until all known entries have told what they took, or their runs are over (1.1 s; at a start, too). What is lost on waking counts as lost then. Tests settle for 1.2 s, as a lone entry waits 1.1.

--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -134,8 +134,9 @@
         self._now = now
         self._out = []
         self.runner.begin(now, self._out)
-        for link in self.links.begin(now):
-            self._drop_link(link.stream, "stood_still")
+        if self.links.begin(now):
+            for link in self.links:
+                self._drop_link(link.stream, "stood_still")
         self._handlers[type(event)](event)
         self.runner.start_parked()
         self._out += self.endpoint.list_renewals(
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -181,11 +181,8 @@
         self.dispatcher.begin(now, self._out.append)
         self.handover.begin(now, self._out.append)
         self.intake.begin(now, self._out.append)
-        abandoned = self.links.begin(now)
-        for link in abandoned:
-            self._drop_link(link.stream, "stood_still")
-        if abandoned:
-            self.handover.give_up_unsure("stood_still")
+        if self.links.begin(now):
+            self._wake()
         self._handlers[type(event)](event)
         self.handover.check()
         self._check_quiet()
@@ -321,6 +318,14 @@
             self._count_entries()
             self.dispatcher.admission.forget(link.hello.incarnation)
 
+    def _wake(self) -> None:
+        """Begin anew after this process has stood still for longer than others wait."""
+        self.handover.wake()
+        for link in self.links:
+            self._drop_link(link.stream, "stood_still")
+        for job in list(self.dispatcher.jobs.values()):
+            self.dispatcher.give_up(job, "stood_still")
+
     def _drop_link(self, stream: int, reason: str) -> None:
         self.counts.add("streams_closed", reason)
         self._out.append(CloseStream(stream, reason))
--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -13,6 +13,7 @@
 from godwitbank._internal.core.runs.dispatcher import Dispatcher
 from godwitbank._internal.core.runs.events import Note, RunAction
 from godwitbank._internal.core.runs.fleet import AgentView
+from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
 from godwitbank._internal.core.runs.links import SILENCE, Link, Links
 from godwitbank._internal.core.runs.ownership import (
     CLAIM_SECONDS,
@@ -30,9 +31,9 @@
     Yielded,
 )
 
-GRACE = 0.9
-"""Seconds after its start in which an entry waits for those it knows; above the
-``SILENCE`` after which agents stop an entry's runs, and the time that takes."""
+GRACE = LAPSE_SECONDS
+"""Seconds for which an entry that has started, or stood still, waits for the others it
+knows. What those have ordered that it doesn't hear of by then is over."""
 
 FEW_PEERS = 4
 """Other entries that are told at once of each job taken. Where there are more, they are
@@ -73,7 +74,7 @@
         self._dispatcher = dispatcher
         self._links = links
         self._counts = counts
-        self._booted_at = now
+        self._awake_since = now
         self._informed = False
         self._takings = Takings()
         self._delayed: dict[str, Delayed] = {}
@@ -124,12 +125,22 @@
             }
             known = set(self._links.addresses.list_others())
             linked_all = bool(known) and known <= linked
-            self._informed = linked_all or self._now - self._booted_at > GRACE
+            self._informed = linked_all or self._now - self._awake_since > GRACE
             if self._informed and known - linked:
                 # They may be alive and cut off from here alone.
                 self._lose_unreached(sorted(known - linked))
         return self._informed
 
+    def wake(self) -> None:
+        """Begin anew after this entry stood still: others may have taken its jobs.
+
+        An entry that went on with its jobs at once started tasks that another one had
+        taken over, before it had a stream to that one again.
+        """
+        self._informed = False
+        self._awake_since = self._now
+        self._heard.clear()
+
     @property
     def _sees_all_agents(self) -> bool:
         return self._links.addresses.count < self._entries_per_agent
@@ -175,6 +186,8 @@
             # Its agents stop its runs that long after its last frame; other entries
             # may notice later.
             lost_at = min(self._now, link.heard_at + SILENCE)
+            # Nothing is known of what others did while this entry stood still.
+            lost_at = max(lost_at, self._awake_since)
             self._takings.lose(link.hello.incarnation, lost_at)
             if not self._links.list_peers():
                 self.give_up_unsure("cut_off")
@@ -188,9 +201,8 @@
     def give_up_unsure(self, reason: str) -> None:
         """Give up the jobs that others may have taken unheard.
 
-        After this entry stood still, or lost all others at once, their callers may be
-        elsewhere. Agents that it doesn't meet can't tell; started here again, a task
-        would run twice.
+        After this entry lost all others at once, their callers may be elsewhere. Agents
+        that it doesn't meet can't tell; started here again, a task would run twice.
         """
         if self._sees_all_agents:
             return
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -144,16 +144,16 @@
         self._peer_pulse_at = now if self._is_entry else math.inf
         self.look_at = now
 
-    def begin(self, now: float) -> list[Link]:
+    def begin(self, now: float) -> bool:
         """Begin to handle an event.
 
-        :return: the streams to give up: all, after this process has stood still for
-            longer than others wait for it. What then lies in its sockets is old, and
-            other entries may have taken over what it was at.
+        :return: whether all streams must be given up, as this process has stood still
+            for longer than others wait for it. What then lies in its sockets is old,
+            and other entries may have taken over what it was at.
         """
         stood_still = now - self._turn_at > SILENCE
         self._turn_at = now
-        return list(self) if stood_still else []
+        return stood_still
 
     def __iter__(self) -> Iterator[Link]:
         return iter(list(self._by_stream.values()))
--- a/tests/core/runs/test_path.py
+++ b/tests/core/runs/test_path.py
@@ -2,6 +2,9 @@
 
 from tests.lib.runs_world import CAPACITY, RunsWorld, make_job
 
+SETTLE_SECONDS = 1.2
+"""Seconds by which a lone entry, too, takes jobs."""
+
 
 def make_world(entries: int = 2, agents: int = 3, seed: int = 0) -> RunsWorld:
     world = RunsWorld(seed)
@@ -9,7 +12,7 @@
         world.add_entry(f"entry-{number}")
     for number in range(agents):
         world.add_agent(f"agent-{number}")
-    world.run(1.0)
+    world.run(SETTLE_SECONDS)
     return world
 
 
--- a/tests/core/runs/test_takeovers.py
+++ b/tests/core/runs/test_takeovers.py
@@ -89,3 +89,58 @@
     world.submit("entry-3", JOB)
     world.run(8.0)
     assert "completed" in world.get_ends("j1")
+
+
+@pytest.mark.parametrize("darkened_after", [0.0, 0.004, 0.09])
+@pytest.mark.parametrize("asked_after", [0.1, 0.2, 0.4, 0.6])
+def test_an_agent_out_of_reach_is_not_taken_for_one_that_runs_nothing(
+    darkened_after: float, asked_after: float
+) -> None:
+    # Symptom: a task runs at two endpoints. Sequence: an entry is suspended; another
+    # takes a job. The first is cut off from an agent that runs it, and wakes up; the
+    # other loses its power a moment later. The job's caller, whose connection broke
+    # unnoticed, comes to the entry that woke up. That one asks the agents that it
+    # reaches and starts the job. Cause: it went on as before, as if it knew what others
+    # had taken while it stood still. Its log has no `job_delayed` for the job, and
+    # `job_accepted` 50 ms after the submission.
+    world = make_world(entries=3, agents=4)
+    world.freeze("entry-2")
+    world.run(0.8)
+    world.submit("entry-0", JOB)
+    world.run(0.2)
+    world.cut_link("entry-2", find_agents(world, "j1")[0])
+    world.run(1.0)
+    world.thaw("entry-2")
+    world.run(darkened_after)
+    world.darken("entry-0")
+    world.run(asked_after)
+    world.submit("entry-2", JOB)
+    world.run(8.0)
+    assert world.get_ends("j1")
+
+
+@pytest.mark.parametrize("taken_after", [1.3, 1.6, 1.9])
+@pytest.mark.parametrize("wakes_after", [0.1, 0.4, 0.75])
+def test_an_entry_that_wakes_up_starts_nothing_before_it_has_heard_others(
+    taken_after: float, wakes_after: float
+) -> None:
+    # Symptom: a task runs at two endpoints. Sequence: an entry is suspended with a job
+    # in flight; the caller submits it to another one, which was started meanwhile and
+    # can't reach one of the agents. The first wakes up, and starts the job again at
+    # that agent before it has a stream to the other entry. Cause, as above: it went on
+    # with its jobs. Its log has `run_sent` for the tasks 58 ms after its waking, and
+    # `job_ended` with `submitted_elsewhere` 2 ms later.
+    world = make_world(entries=2, agents=3)
+    world.submit("entry-1", JOB)
+    world.run(0.2)
+    world.freeze("entry-1")
+    world.run(0.8)
+    world.kill("entry-0")
+    world.add_entry("entry-0")
+    world.cut_link("entry-0", "agent-1")
+    world.run(taken_after - 0.8)
+    world.submit("entry-0", JOB)
+    world.run(wakes_after)
+    world.thaw("entry-1")
+    world.run(8.0)
+    assert world.get_ends("j1")
