Exploration: agents know entries by the store at the end

All four agents had been started while no entry lived, and knew no address (logs: no dial, known entries empty); in a deployment the settings and the store name entries, whether they live or not, as the wide exploration already had it. Conclusion: a fault of the test's world.

--- a/tests/core/runs/test_exploration.py
+++ b/tests/core/runs/test_exploration.py
@@ -327,6 +327,10 @@
                     self._start_agent if name in self.agents else self.world.add_entry
                 )
                 start(name)
+        for name in self.agents:
+            # As the store names entries, also those that an agent that was started
+            # while all of them were gone has never met.
+            self.world.processes[name].give(AddressesRead(self.entries))
         self.world.run(8.0)
 
 
