Wait for agents that can't be asked until their leases are over

What callers saw: nothing yet; in a scripted sequence of two cuts and a loss of power a task ran at two endpoints. Cause: up to eight entries, an agent that gave no answer within 50 ms, or that there was no stream to, counted as running nothing of a job, and nobody was asked for a lost entry. Ruled out: agents that answer late (those that were reached had answered). Change: a job that a lost entry may have taken waits until 1.1 s after that entry can have lived, by what this one and those that were asked know, unless every agent known has answered. Others are asked for a lost entry at any size; another process at its address is no proof that it lives; agents say that they are stopping runs. No time limit stands for an answer any more.

--- a/src/godwitbank/_internal/core/runs/claims.py
+++ b/src/godwitbank/_internal/core/runs/claims.py
@@ -24,12 +24,14 @@
     def __init__(self) -> None:
         self._claims: OrderedDict[str, Claimant] = OrderedDict()
         self._unanswered: dict[str, int] = {}
+        self._stopping: set[str] = set()
 
     def add(self, job: str, incarnation: str, stream: int, now: float) -> None:
         """Note a claim that is to be answered on a stream."""
         self._claims.pop(job, None)
         self._claims[job] = Claimant(incarnation, now)
         self._unanswered[job] = stream
+        self._stopping.discard(job)
         while now - next(iter(self._claims.values())).at > KEEP_SECONDS:
             self._claims.popitem(last=False)
 
@@ -44,4 +46,12 @@
 
     def answer(self, job: str) -> int:
         """Take the stream on which a claim is answered."""
+        self._stopping.discard(job)
         return self._unanswered.pop(job)
+
+    def begin_stop(self, job: str) -> int | None:
+        """Note that runs are being stopped; returns the stream to tell so, once."""
+        if job in self._stopping:
+            return None
+        self._stopping.add(job)
+        return self._unanswered[job]
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -433,7 +433,7 @@
 
     def lose_view(self, view: AgentView) -> None:
         """Leave the runs of an agent without a stream in limbo."""
-        self.fleet.remove(view)
+        self.fleet.remove(view, self._now)
         for task in list(view.tasks.values()):
             view.remove(task)
             task.state = TaskState.LIMBO
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -378,6 +378,7 @@
 
     def _hear_pulse(self, link: Link, pulse: Pulse) -> None:
         link.lag = pulse.lag
+        link.hear_takings(pulse.clock, self._now)
         self.dispatcher.admission.hear(link.hello.incarnation, pulse.backlog)
 
     def _hear_goodbye(self, link: Link, message: Goodbye) -> None:
--- a/src/godwitbank/_internal/core/runs/fleet.py
+++ b/src/godwitbank/_internal/core/runs/fleet.py
@@ -18,6 +18,10 @@
 """Age that the sum of all endpoints' cores may reach. Endpoints that come or go change
 it at once; slowness, which is told five times a second, within this time."""
 
+MISSING_SECONDS = 12.0
+"""Seconds for which an agent that was lost is missed; longer than callers wait (10 s),
+so that nothing runs there any more of a job that comes again."""
+
 ARRIVAL_WAIT = 0.5
 """Seconds a job must be able to wait to be taken while no endpoint is there yet. After
 all VMs had lost power, endpoints came 0.6 to 1.2 s after the entries: a third of the
@@ -144,17 +148,26 @@
         self._open: dict[str, list[AgentView]] = {}
         self._capacity: dict[str, Measured] = {}
         self._health: dict[str, Health] = {}
+        self._missing: dict[str, float] = {}
 
     def add(self, link: Link, now: float) -> AgentView:
         """Note an agent's new stream."""
         health = self._health.setdefault(link.hello.address, Health())
         view = self.views[link.stream] = AgentView(link, health, now)
         self._by_address[view.address] = view
+        self._missing.pop(view.address, None)
         self._open.clear()
         return view
 
-    def remove(self, view: AgentView) -> None:
+    def misses(self, now: float) -> bool:
+        """Tell whether an agent that was here lately can't be reached."""
+        lately = now - MISSING_SECONDS
+        self._missing = {each: at for each, at in self._missing.items() if at > lately}
+        return bool(self._missing)
+
+    def remove(self, view: AgentView, now: float) -> None:
         """Forget an agent's stream."""
+        self._missing[view.address] = now
         self.views.pop(view.stream, None)
         self._open.clear()
         self._capacity.clear()
--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -17,6 +17,7 @@
 from godwitbank._internal.core.runs.links import SILENCE, Link, Links
 from godwitbank._internal.core.runs.ownership import (
     CLAIM_SECONDS,
+    REMEMBER_SECONDS,
     YIELD_SECONDS,
     Takings,
 )
@@ -47,16 +48,27 @@
     :param abandoned: it won't be started here; a third entry waits in turn.
     :param claiming: agents were asked to stop others' runs of it.
     :param claimed_at: streams of the agents that have not answered yet.
+    :param stopping: streams of those that still stop runs of it.
     """
 
-    __slots__ = ("job", "start_at", "abandoned", "claiming", "claimed_at")
-
-    def __init__(self, job: Job, start_at: float) -> None:
+    __slots__ = (
+        "job",
+        "asked_at",
+        "start_at",
+        "abandoned",
+        "claiming",
+        "claimed_at",
+        "stopping",
+    )
+
+    def __init__(self, job: Job, now: float, start_at: float) -> None:
         self.job = job
+        self.asked_at = now
         self.start_at = start_at
         self.abandoned = False
         self.claiming = False
         self.claimed_at: set[int] = set()
+        self.stopping: set[int] = set()
 
 
 class Handover:
@@ -148,8 +160,8 @@
     def _lose_unreached(self, addresses: list[str]) -> None:
         for address in addresses:
             unknown = UNREACHED + address
-            self._takings.lose(unknown, self._now)
-            self._ask_for(address, unknown)
+            self._takings.lose(unknown, self._awake_since)
+            self.whereabouts.ask(address, unknown)
 
     def submit(self, job: Job) -> None:
         """Start a job, or let it wait until nothing of it runs elsewhere."""
@@ -181,22 +193,19 @@
 
     def lose_peer(self, link: Link) -> None:
         """Note that a peer's last stream ended."""
-        self.whereabouts.tell_lost(link)
+        owner = link.hello.incarnation
+        self._heard.discard(owner)
+        # It may have proved its life to others later than to this entry, by as much as
+        # may lie between two proofs.
+        lived_at = min(self._now, link.heard_at + SILENCE)
+        # Nothing is known of what others did while this entry stood still.
+        lived_at = max(lived_at, self._awake_since)
+        self.whereabouts.tell_lost(link, lived_at)
         if not link.leaving:
-            # Its agents stop its runs that long after its last frame; other entries
-            # may notice later.
-            lost_at = min(self._now, link.heard_at + SILENCE)
-            # Nothing is known of what others did while this entry stood still.
-            lost_at = max(lost_at, self._awake_since)
-            self._takings.lose(link.hello.incarnation, lost_at)
+            self._takings.lose(owner, lived_at, link.told_at)
             if not self._links.list_peers():
                 self.give_up_unsure("cut_off")
-            self._ask_for(link.hello.address, link.hello.incarnation)
-
-    def _ask_for(self, address: str, owner: str) -> None:
-        # Where all agents are seen, they are asked for each job instead.
-        if not self._sees_all_agents:
-            self.whereabouts.ask(address, owner)
+            self.whereabouts.ask(link.hello.address, owner)
 
     def give_up_unsure(self, reason: str) -> None:
         """Give up the jobs that others may have taken unheard.
@@ -211,11 +220,13 @@
 
     def is_unsure(self) -> bool:
         """Tell whether a job that lost its runs may have been taken elsewhere."""
-        return not self._sees_all_agents and self._takings.is_blind(self._now)
+        return not self._sees_all_agents and self._is_blind()
+
+    def _is_blind(self) -> bool:
+        return self._takings.is_blind(self._now, self._sees_all_agents)
 
     def regain_peer(self, link: Link) -> None:
         """Note a peer's new stream, and tell it what was taken here."""
-        self._takings.regain(link.hello.incarnation)
         lost = self.whereabouts.regain(link)
         if lost:
             self._takings.regain(lost)
@@ -236,9 +247,13 @@
         if owner:
             self._ask_owner(job, owner)
             return
-        if not self._takings.is_blind(self._now):
+        if not self._is_blind():
             self._take(job)
-        elif self.whereabouts.is_asking:
+        elif self._sees_all_agents:
+            self._claim(job)
+        elif not self._takings.concern(job.arrival):
+            self._take(job)
+        elif self._now < self._takings.find_over(job.arrival):
             self._unsorted[job.spec.job] = job
         else:
             self._claim(job)
@@ -246,8 +261,6 @@
     def _sort_in_all(self) -> None:
         if not self._unsorted or not self.informed:
             return
-        if self.whereabouts.is_asking:
-            return
         waiting, self._unsorted = self._unsorted, {}
         for job in waiting.values():
             self._sort_in(job)
@@ -256,14 +269,17 @@
         """Ask the agents to stop what others run of a job.
 
         An entry that can't be reached may have taken it. A failure shows as a
-        task that runs twice after its caller went from one entry to the other.
+        task that runs twice after its caller went from one entry to the other. An
+        agent that doesn't answer may run it until the lost entry's orders are over.
         """
         name = job.spec.job
         views = self._dispatcher.fleet.views
         if not views:
             self._take(job)
             return
-        delayed = Delayed(job, self._now + CLAIM_SECONDS)
+        over_at = self._takings.find_over(job.arrival)
+        start_at = max(self._now + CLAIM_SECONDS, over_at)
+        delayed = Delayed(job, self._now, start_at)
         delayed.claiming = True
         delayed.claimed_at = set(views)
         self._delayed[name] = delayed
@@ -279,10 +295,20 @@
             return
         if view.stream not in delayed.claimed_at:
             return
+        if not message.over:
+            delayed.stopping.add(view.stream)
+            return
+        delayed.stopping.discard(view.stream)
         delayed.claimed_at.discard(view.stream)
-        if not delayed.claimed_at:
+        if not delayed.claimed_at and self._knows_agents:
             self._start_now(delayed)
 
+    @property
+    def _knows_agents(self) -> bool:
+        """Whether no agent can run a job that isn't asked for it."""
+        young = self._now - self._awake_since < REMEMBER_SECONDS
+        return not young and not self._dispatcher.fleet.misses(self._now)
+
     def _take(self, job: Job) -> None:
         self._dispatcher.submit(job)
         if job.spec.job in self._dispatcher.jobs:
@@ -316,7 +342,7 @@
             start_at = self._takings.find_lapse(owner, self._now)
         self._counts.add("jobs_delayed", "owner_gone" if link is None else "asked")
         self._note("job_delayed", name, s=round(start_at - self._now, 3))
-        self._delayed[name] = Delayed(job, start_at)
+        self._delayed[name] = Delayed(job, self._now, start_at)
         self._tell_taken(name)
 
     def hear_yielded(self, link: Link, message: Yielded) -> None:
@@ -347,8 +373,8 @@
             if delayed.start_at > self._now:
                 continue
             if delayed.claiming:
-                # Agents that don't answer are most likely dead.
-                self._start_now(delayed)
+                if self._is_claimed(delayed):
+                    self._start_now(delayed)
                 continue
             owner = self._takings.find(name)
             link = self._links.find(owner)
@@ -367,6 +393,28 @@
             self._takings.forget(name)
             self._claim_next(delayed)
 
+    def _is_claimed(self, delayed: Delayed) -> bool:
+        """Tell whether nothing of a job can run that was claimed a while ago."""
+        views = self._dispatcher.fleet.views
+        gone = delayed.stopping - views.keys()
+        if gone:
+            # An agent was lost that was stopping runs; their leases end.
+            delayed.stopping -= gone
+            delayed.start_at = self._now + LAPSE_SECONDS
+        return not gone and not any(
+            self._may_still_answer(delayed, stream)
+            for stream in delayed.claimed_at & views.keys()
+        )
+
+    def _may_still_answer(self, delayed: Delayed, stream: int) -> bool:
+        if stream in delayed.stopping:
+            return True
+        if self._takings.confirmed:
+            # Lost entries are gone, and what they had ordered is over.
+            return False
+        heard_at = self._dispatcher.fleet.views[stream].link.heard_at
+        return self._now - max(heard_at, delayed.asked_at) <= SILENCE
+
     def hear_yield(self, link: Link, message: Yield) -> None:
         """Stop a job whose caller came to another entry, or pass that on."""
         if message.owner:
@@ -412,6 +460,7 @@
         owner = message.owner or link.hello.incarnation
         if not message.owner:
             self._heard.add(owner)
+            self._takings.regain(owner)
             self.whereabouts.pass_on(link, message)
         if self._links.find(owner) is None:
             self._takings.miss(owner, self._now)
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -69,6 +69,7 @@
         while there is none.
     :ivar proved_at: this end's clock when its other end is known to have lived: frames
         may have been held up. Infinite where nothing depends on it.
+    :ivar told_at: up to when its other end has told what it takes from callers.
     :ivar received: orders to start received on it.
     :ivar told_slowness: what its other end was told last of this end's endpoint.
     :ivar told_lag: how late its other end was told that this end is, in seconds.
@@ -81,6 +82,7 @@
         "hello",
         "heard_at",
         "proved_at",
+        "told_at",
         "sent_at",
         "busy_since",
         "dialled",
@@ -99,6 +101,7 @@
         self.dialled = dialled
         self.heard_at = now
         self.proved_at = math.inf
+        self.told_at = -math.inf
         self.sent_at = now
         self.busy_since = math.inf
         self.received = 0
@@ -124,6 +127,11 @@
             self._lead = lead
             self._lead_at = now
 
+    def hear_takings(self, clock: float, now: float) -> None:
+        """Note by a message's clock up to when its sender has told what it takes."""
+        self.hear_clock(clock, now)
+        self.told_at = max(self.told_at, clock - self._lead)
+
     def read_clock(self, now: float) -> float:
         """Tell what the other's clock shows at least; minus infinity at first."""
         return now + self._lead
--- a/src/godwitbank/_internal/core/runs/ownership.py
+++ b/src/godwitbank/_internal/core/runs/ownership.py
@@ -6,6 +6,7 @@
 the first to stop before it starts anything.
 """
 
+import math
 from collections import OrderedDict
 from typing import NamedTuple
 
@@ -15,12 +16,16 @@
 """Seconds a taking and a lost peer are remembered; longer than callers wait (10 s)
 and the 1.3 s after which they submit again."""
 
+RESUBMIT_SECONDS = 1.2
+"""Seconds after a broken connection before which no caller submits again (they wait
+1.3 s), less what clocks and links may add."""
+
 YIELD_SECONDS = 0.8
 """Seconds the other entry has to answer; its agents stop runs in some 50 ms."""
 
 CLAIM_SECONDS = 0.05
-"""Seconds agents have to answer a claim; those that live do within 5 ms, and their
-stopping of a run takes 50 ms. Longer waits for agents that were dark made every job
+"""Seconds agents have to answer a claim once all that lost entries ordered is over;
+those that live do within 5 ms. Longer waits for agents that were dark made every job
 late while an entry was missing, too."""
 
 
@@ -31,14 +36,40 @@
     at: float
 
 
+class Loss(NamedTuple):
+    """A peer that can't be reached, and that nobody is known to reach.
+
+    :param lived_at: by when it proved its life for the last time, if it is gone.
+    :param told_at: up to when it has told what it takes.
+    :param confirmed: whether others that were asked can't reach it either.
+    """
+
+    lived_at: float
+    told_at: float
+    confirmed: bool
+
+    @property
+    def over_at(self) -> float:
+        """When nothing runs by its orders any more, if it is gone."""
+        return self.lived_at + LAPSE_SECONDS
+
+    def concerns(self, arrival: float) -> bool:
+        """Tell whether it may have taken a job unheard that arrived at a time.
+
+        A caller comes again a while after its connection broke, so a job that comes
+        sooner after what was told last can't be one of those.
+        """
+        return arrival >= self.told_at + RESUBMIT_SECONDS
+
+
 class Takings:
     """Jobs taken by peers, newest last."""
 
     def __init__(self) -> None:
         self._jobs: OrderedDict[str, Taking] = OrderedDict()
-        self._lost: dict[str, float] = {}
+        self._lost: dict[str, Loss] = {}
         self._missed: dict[str, float] = {}
-        self._settled: dict[str, float] = {}
+        self._settled: dict[str, Loss] = {}
 
     def note(self, job: str, age: float, incarnation: str, now: float) -> None:
         """Note what a peer took ``age`` seconds ago; the newest taking counts."""
@@ -53,19 +84,39 @@
                 break
             del self._jobs[oldest]
 
-    def lose(self, incarnation: str, now: float) -> None:
+    def lose(
+        self, incarnation: str, lived_at: float, told_at: float = -math.inf
+    ) -> None:
         """Note that a peer's last stream ended."""
-        self._lost[incarnation] = now
-
-    def settle(self, incarnation: str) -> None:
-        """Note that a lost peer has taken nothing that isn't known here."""
-        lost_at = self._lost.pop(incarnation, None)
-        if lost_at is not None:
-            lately = lost_at - REMEMBER_SECONDS
-            self._settled = {
-                each: at for each, at in self._settled.items() if at > lately
-            }
-            self._settled[incarnation] = lost_at
+        self._lost[incarnation] = Loss(lived_at, told_at, False)
+
+    def lose_again(self, incarnation: str, now: float) -> None:
+        """Note that nobody who is known to reach a lost peer is left."""
+        settled = self._settled.pop(incarnation, None)
+        if settled is not None:
+            self._lost[incarnation] = Loss(now, settled.told_at, False)
+
+    def hear_lost(self, incarnation: str, lived_at: float) -> None:
+        """Note by when a lost peer may have lived, as another entry knows."""
+        loss = self._lost.get(incarnation)
+        if loss is not None and lived_at > loss.lived_at:
+            self._lost[incarnation] = loss._replace(lived_at=lived_at)
+
+    def confirm(self, incarnation: str) -> None:
+        """Note that others can't reach a lost peer either."""
+        loss = self._lost.get(incarnation)
+        if loss is not None:
+            self._lost[incarnation] = loss._replace(confirmed=True)
+
+    def settle(self, incarnation: str, now: float) -> None:
+        """Note that another entry reaches a lost peer and passes on what it takes."""
+        loss = self._lost.pop(incarnation, None)
+        if loss is not None:
+            self._settled[incarnation] = loss
+        lately = now - REMEMBER_SECONDS
+        self._settled = {
+            each: loss for each, loss in self._settled.items() if loss.lived_at > lately
+        }
 
     def miss(self, incarnation: str, now: float) -> None:
         """Note that others tell of a peer which can't be reached from here.
@@ -77,7 +128,7 @@
         self._missed.setdefault(incarnation, now)
 
     def regain(self, incarnation: str) -> None:
-        """Note a stream to a peer; it tells what it has taken meanwhile."""
+        """Note that a peer has told what it has taken, on a new stream."""
         self._lost.pop(incarnation, None)
         self._missed.pop(incarnation, None)
         self._settled.pop(incarnation, None)
@@ -89,12 +140,37 @@
             owned.setdefault(taking.incarnation, {})[job] = taking
         return owned
 
-    def is_blind(self, now: float) -> bool:
-        """Tell whether a peer that was lost may have taken jobs unheard."""
+    def is_blind(self, now: float, asks_agents: bool) -> bool:
+        """Tell whether a peer that was lost may have taken jobs unheard.
+
+        :param asks_agents: whether agents can tell, which is worth more than what other
+            entries say of a lost one.
+        """
         lately = now - REMEMBER_SECONDS
-        self._lost = {each: at for each, at in self._lost.items() if at > lately}
+        self._lost = {
+            each: loss
+            for each, loss in self._lost.items()
+            if loss.lived_at > lately
+            and (asks_agents or not loss.confirmed or now < loss.over_at)
+        }
         return bool(self._lost)
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether others can't reach any of the lost peers either."""
+        return all(loss.confirmed for loss in self._lost.values())
+
+    def concern(self, arrival: float) -> bool:
+        """Tell whether a lost peer may have a job that came here at a time."""
+        return any(loss.concerns(arrival) for loss in self._lost.values())
+
+    def find_over(self, arrival: float) -> float:
+        """Tell when what lost peers may run of a job that came here is over."""
+        return max(
+            (loss.over_at for loss in self._lost.values() if loss.concerns(arrival)),
+            default=-math.inf,
+        )
+
     def find(self, job: str) -> str:
         """Find the incarnation of the peer that took a job, or an empty string."""
         taking = self._jobs.get(job)
@@ -106,7 +182,7 @@
 
     def find_lapse(self, incarnation: str, now: float) -> float:
         """Tell when the runs of a peer that can't be reached are gone."""
-        for known in (self._lost, self._settled, self._missed):
+        for known in (self._lost, self._settled):
             if incarnation in known:
-                return known[incarnation] + LAPSE_SECONDS
-        return now + LAPSE_SECONDS
+                return known[incarnation].over_at
+        return self._missed.get(incarnation, now) + LAPSE_SECONDS
--- a/src/godwitbank/_internal/core/runs/runner.py
+++ b/src/godwitbank/_internal/core/runs/runner.py
@@ -236,12 +236,16 @@
         """Answer the claims of which nothing runs here any more."""
         longest = MAX_LEASE / (1 - CLOCK_SKEW) + LAPSE_SLACK
         lapsed = self._now - self._booted_at > longest
-        if not self._endpoint.settled and not lapsed:
-            # What a former agent started may still run.
-            return
+        settled = self._endpoint.settled or lapsed
         for job in self._claims.list_unanswered():
-            if not self._list_others(job):
-                self._send(self._claims.answer(job), Claimed(job))
+            if self._list_others(job):
+                # Whoever asks must not take the time of the stop for an agent's end.
+                stream = self._claims.begin_stop(job)
+                if stream is not None:
+                    self._send(stream, Claimed(job, False))
+            elif settled:
+                # Before, what a former agent started may still run.
+                self._send(self._claims.answer(job), Claimed(job, True))
 
     def hear_start(self, event: StartAnswered) -> None:
         """Take the endpoint's answer to an order to start."""
--- a/src/godwitbank/_internal/core/runs/whereabouts.py
+++ b/src/godwitbank/_internal/core/runs/whereabouts.py
@@ -25,6 +25,7 @@
         self._testimony = Testimony()
         self._lost: dict[str, str] = {}
         self._told_by: dict[str, int] = {}
+        self._lived: dict[str, float] = {}
         self._now = 0.0
         self._out: Callable[[RunAction], None] = lambda action: None
 
@@ -60,12 +61,40 @@
         address = message.address
         if message.reachable:
             self._told_by[message.incarnation] = link.stream
+        spoke_for = self._witnesses.is_reached_by(link.stream, address)
         gone = self._witnesses.hear(link.stream, address, message.reachable)
         owner = self._lost.get(address)
-        if owner is not None and (gone or message.reachable):
-            fields = {"address": address, "gone": gone}
-            self._out(Note("peer_located", "", fields))
-            self._takings.settle(owner)
+        if owner is None:
+            return
+        if message.reachable:
+            self._hear_reached(owner, message)
+        elif not self._witnesses.is_reached(address):
+            self._hear_unreached(owner, message)
+            if spoke_for:
+                self._ask_again(address)
+        if gone or message.reachable:
+            self._out(Note("peer_located", "", {"address": address, "gone": gone}))
+        if gone:
+            self._takings.confirm(owner)
+
+    def _hear_reached(self, owner: str, message: Located) -> None:
+        if owner in (message.incarnation, UNREACHED + message.address):
+            self._takings.settle(owner, self._now)
+            return
+        # Another process answers at its address; the one that was lost is gone.
+        self._takings.confirm(owner)
+
+    def _hear_unreached(self, owner: str, message: Located) -> None:
+        self._told_by.pop(owner, None)
+        known = message.incarnation in ("", owner) or owner.startswith(UNREACHED)
+        if known and message.age >= 0:
+            self._takings.lose_again(owner, self._now - message.age)
+            self._takings.hear_lost(owner, self._now - message.age)
+
+    def _ask_again(self, address: str) -> None:
+        owner = self._lost[address]
+        self._takings.lose_again(owner, self._now)
+        self.ask(address, owner)
 
     def pass_yield(self, job: str, owner: str) -> bool:
         """Ask an entry out of reach to stop a job, by one that reaches it.
@@ -94,7 +123,7 @@
         }
         for address in self._witnesses.drop_stream(stream):
             if address in self._lost:
-                self.ask(address, self._lost[address])
+                self._ask_again(address)
 
     # As the one that is asked
 
@@ -111,13 +140,20 @@
             if each.hello.address == message.address
         ]
         if not heard_at or self._now - heard_at[0] > SILENCE:
-            self._send(link.stream, Located(message.address, False, ""))
+            age = self._measure_age(message.address, heard_at)
+            self._send(link.stream, Located(message.address, False, "", age))
+
+    def _measure_age(self, address: str, heard_at: list[float]) -> float:
+        if heard_at:
+            return self._now - heard_at[0]
+        lived_at = self._lived.get(address)
+        return -1.0 if lived_at is None else self._now - lived_at
 
     def hear_peer(self, link: Link) -> None:
         """Note that an entry lives; tell those that asked, and what it has taken."""
         owner = link.hello.incarnation
         for stream in self._testimony.hear(link.hello.address):
-            self._send(stream, Located(link.hello.address, True, owner))
+            self._send(stream, Located(link.hello.address, True, owner, 0.0))
             taken = self._takings.list_by_owner().get(owner, {})
             ages = [self._now - taking.at for taking in taken.values()]
             self._send(stream, Took(list(taken), ages, owner))
@@ -129,8 +165,13 @@
         for stream in followers:
             self._send(stream, Took(message.jobs, message.ages, owner))
 
-    def tell_lost(self, link: Link) -> None:
-        """Tell those that asked for an entry that it is lost here, too."""
+    def tell_lost(self, link: Link, lived_at: float) -> None:
+        """Tell those that asked for an entry that it is lost here, too.
+
+        :param lived_at: by when it proved its life for the last time.
+        """
         address = link.hello.address
+        self._lived[address] = lived_at
+        lost = Located(address, False, link.hello.incarnation, self._now - lived_at)
         for stream in self._testimony.lose(address, self._now):
-            self._send(stream, Located(address, False, ""))
+            self._send(stream, lost)
--- a/src/godwitbank/_internal/core/runs/witnesses.py
+++ b/src/godwitbank/_internal/core/runs/witnesses.py
@@ -65,6 +65,14 @@
         del self._open[address]
         return True
 
+    def is_reached_by(self, stream: int, address: str) -> bool:
+        """Tell whether the entry on a stream has said that it reaches a lost one."""
+        return self._reachable.get(address) == stream
+
+    def is_reached(self, address: str) -> bool:
+        """Tell whether somebody reaches a lost entry."""
+        return address in self._reachable
+
     def forget(self, address: str) -> None:
         """Forget an entry that is reached again."""
         self._open.pop(address, None)
--- a/src/godwitbank/_internal/models/run_messages.py
+++ b/src/godwitbank/_internal/models/run_messages.py
@@ -190,12 +190,15 @@
 class Located(NamedTuple):
     """Whether the sender reaches an entry.
 
-    :param incarnation: of that entry, if it is reached.
+    :param incarnation: of that entry, if it is reached, or was before it was lost.
+    :param age: seconds since the entry that was lost can have lived, as the sender
+        knows; negative if it never met it.
     """
 
     address: str
     reachable: bool
     incarnation: str
+    age: float
 
 
 class Forward(NamedTuple):
@@ -241,6 +244,11 @@
 
 
 class Claimed(NamedTuple):
-    """Nothing of the job runs here by the orders of others, nor will it."""
+    """What runs of a job here by the orders of others was told to stop.
+
+    :param over: whether nothing of it is left, nor will be; else another message
+        follows once that is so.
+    """
 
     job: str
+    over: bool
--- a/tests/core/runs/test_takeovers.py
+++ b/tests/core/runs/test_takeovers.py
@@ -144,3 +144,52 @@
     world.thaw("entry-1")
     world.run(8.0)
     assert world.get_ends("j1")
+
+
+@pytest.mark.parametrize("darkened_after", [0.9, 1.1, 1.25])
+@pytest.mark.parametrize("met_before", [True, False])
+def test_an_agent_that_can_not_be_asked_counts_until_its_leases_are_over(
+    darkened_after: float, met_before: bool
+) -> None:
+    # Symptom: a task runs at two endpoints. Sequence: an entry is cut off from another
+    # one and from an agent. The other takes a job, runs it there, and loses its power;
+    # the caller, whose connection broke before, comes to the first one. That one asks
+    # the agents it reaches, for 50 ms, and starts the job. Cause: an agent that didn't
+    # answer, or that it had no stream to, counted as one that runs nothing; and the
+    # third entry, which knew of the job, wasn't asked, as agents were thought to be
+    # enough. The log has `job_accepted` 50 ms after the submission.
+    world = make_world(entries=3, agents=4)
+    if not met_before:
+        world.kill("entry-2")
+        world.run(0.1)
+        for agent in ("agent-0", "agent-1"):
+            world.cut_link("entry-2", agent)
+        world.add_entry("entry-2")
+        world.run(1.5)
+    for process in ("entry-0", "agent-0", "agent-1"):
+        world.cut_link("entry-2", process)
+    world.run(0.1)
+    world.submit("entry-0", JOB)
+    world.run(darkened_after)
+    world.darken("entry-0")
+    world.run(0.05 + RESUBMIT_SECONDS - darkened_after)
+    world.submit("entry-2", JOB)
+    world.run(8.0)
+    assert world.get_ends("j1")
+
+
+def test_an_agent_that_still_stops_runs_is_waited_for() -> None:
+    # Symptom: a task runs at two endpoints for some milliseconds. Sequence: two entries
+    # can't reach each other, and nobody else is there. One takes a job, whose caller
+    # comes to the other. An agent is told that the job goes to that one, and stops its
+    # runs, which takes longer than an agent is given to answer.
+    world = make_world(entries=2, agents=3)
+    world.cut_link("entry-0", "entry-1")
+    world.run(1.0)
+    world.submit("entry-0", JOB)
+    world.run(RESUBMIT_SECONDS)
+    for agent in ("agent-0", "agent-1", "agent-2"):
+        world.delay_frames(agent, "entry-1", 0.03)
+    world.submit("entry-1", JOB)
+    world.run(8.0)
+    assert "completed" in world.get_ends("j1")
