Tell other entries of jobs that wait

Cause: a job that waited until an entry knew what others had was told to nobody; two entries that waited for each other took it at the same moment. Ruled out: runs of before, all over 0.9 s earlier by the agents' logs. Change: what waits is told like what is taken; the later taker asks, the earlier gives way.

--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -169,7 +169,14 @@
             self._sort_in(job)
         else:
             # What other entries have taken isn't known yet; it might run twice.
-            self._unsorted[job.spec.job] = job
+            self._hold(job)
+
+    def _hold(self, job: Job) -> None:
+        # Others are told of it, too: two entries that wait for the same to be over
+        # would start it at the same moment.
+        if job.spec.job not in self._unsorted:
+            self._tell_taken(job.spec.job)
+        self._unsorted[job.spec.job] = job
 
     def lose_caller(self, caller: int) -> None:
         """Forget the jobs that only a caller who is gone waits for."""
@@ -253,17 +260,24 @@
             self._claim(job)
         elif not self._takings.concern(job.arrival):
             self._take(job)
-        elif self._now < self._takings.find_over(job.arrival):
-            self._unsorted[job.spec.job] = job
+        elif self._must_wait(job):
+            self._hold(job)
         else:
             self._claim(job)
 
+    def _must_wait(self, job: Job) -> bool:
+        """Tell whether a lost entry may run a job that can't be asked for."""
+        if self._sees_all_agents or self._takings.find(job.spec.job):
+            return False
+        return self._is_blind() and self._now < self._takings.find_over(job.arrival)
+
     def _sort_in_all(self) -> None:
         if not self._unsorted or not self.informed:
             return
-        waiting, self._unsorted = self._unsorted, {}
-        for job in waiting.values():
-            self._sort_in(job)
+        for job in list(self._unsorted.values()):
+            if not self._must_wait(job):
+                del self._unsorted[job.spec.job]
+                self._sort_in(job)
 
     def _claim(self, job: Job) -> None:
         """Ask the agents to stop what others run of a job.
@@ -430,6 +444,9 @@
             self._dispatcher.give_up(job, "submitted_elsewhere")
 
     def _abandon(self, name: str) -> None:
+        held = self._unsorted.pop(name, None)
+        if held is not None:
+            self._dispatcher.refuse(held, "submitted_elsewhere")
         delayed = self._delayed.get(name)
         if delayed is not None and not delayed.abandoned:
             self._dispatcher.refuse(delayed.job, "submitted_elsewhere")
@@ -446,6 +463,7 @@
     def _tell_all_taken(self, stream: int) -> None:
         taken = [*self._dispatcher.jobs.values()]
         taken += [delayed.job for delayed in self._delayed.values()]
+        taken += self._unsorted.values()
         ages = [self._now - job.arrival for job in taken]
         self._send(stream, Took([job.spec.job for job in taken], ages, ""))
 
@@ -466,8 +484,16 @@
             self._takings.miss(owner, self._now)
         for name, age in zip(message.jobs, message.ages, strict=False):
             self._takings.note(name, age, owner, self._now)
-            job = self._dispatcher.jobs.get(name)
-            if job is not None and self._now - job.arrival > age:
-                # While this entry was cut off or suspended, the caller went to
-                # another one, which took the job for lost here.
-                self._dispatcher.give_up(job, "submitted_elsewhere")
+            self._give_way(name, age)
+
+    def _give_way(self, name: str, age: float) -> None:
+        """Give up a job that another entry took later, for lost here.
+
+        While this entry was cut off or suspended, the caller went to the other one.
+        """
+        job = self._dispatcher.jobs.get(name)
+        if job is not None and self._now - job.arrival > age:
+            self._dispatcher.give_up(job, "submitted_elsewhere")
+        held = self._unsorted.get(name)
+        if held is not None and self._now - held.arrival > age:
+            self._abandon(name)
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -254,10 +254,26 @@
         f"{RUNS}/test_takeovers.py::"
         "test_an_entry_that_wakes_up_starts_nothing_before_it_has_heard_others",
     ),
+    Break(
+        "agents without an answer run nothing",
+        f"{LEASED}/ownership.py",
+        "        return self.lived_at + LAPSE_SECONDS",
+        "        return self.lived_at",
+        f"{RUNS}/test_takeovers.py::"
+        "test_a_job_of_a_lost_entry_waits_though_nobody_can_tell_of_it",
+    ),
+    Break(
+        "nobody is told what waits",
+        f"{LEASED}/handover.py",
+        "        taken += self._unsorted.values()\n",
+        "",
+        f"{RUNS}/test_takeovers.py::"
+        "test_two_entries_that_wait_for_the_same_do_not_start_a_job_together",
+    ),
     Break(
         "nobody is asked for a lost entry",
         f"{LEASED}/handover.py",
-        "            self.whereabouts.ask(address, owner)",
+        "            self.whereabouts.ask(link.hello.address, owner)",
         "            pass",
         f"{RUNS}/test_meeting.py::test_a_job_moves_past_a_cut_between_two_entries",
     ),
--- a/tests/core/runs/test_exploration.py
+++ b/tests/core/runs/test_exploration.py
@@ -42,6 +42,8 @@
     # An entry that had been suspended started its job again before it had heard that
     # another one had taken it meanwhile.
     20327,
+    # Two entries were started and waited for each other with the same job.
+    30019,
 )
 """Seeds of the exploration with patient callers that once failed, with their cause."""
 
--- a/tests/core/runs/test_takeovers.py
+++ b/tests/core/runs/test_takeovers.py
@@ -193,3 +193,53 @@
     world.submit("entry-1", JOB)
     world.run(8.0)
     assert "completed" in world.get_ends("j1")
+
+
+@pytest.mark.parametrize("second_after", [0.2, 0.4, 0.6])
+def test_two_entries_that_wait_for_the_same_do_not_start_a_job_together(
+    second_after: float,
+) -> None:
+    # Symptom: a task runs at two endpoints. Sequence: two entries that can't reach each
+    # other are started anew, and wait until nothing of before can run. A job comes to
+    # one and, as its caller's connection breaks, to the other. They reach each other,
+    # know all at once, and both start it. Cause: what waited was told to nobody. Both
+    # logs have `job_accepted` at the same millisecond.
+    world = make_world(entries=2, agents=3)
+    world.kill("entry-0")
+    world.kill("entry-1")
+    world.run(2.0)
+    world.cut_link("entry-0", "entry-1")
+    world.add_entry("entry-0")
+    world.add_entry("entry-1")
+    world.run(0.1)
+    world.submit("entry-0", JOB)
+    world.run(second_after)
+    world.submit("entry-1", JOB)
+    world.run(0.1)
+    world.heal()
+    world.run(8.0)
+    assert "completed" in world.get_ends("j1")
+
+
+@pytest.mark.parametrize("agent_dies", [0.5, 0.6, 0.65])
+def test_a_job_of_a_lost_entry_waits_though_nobody_can_tell_of_it(
+    agent_dies: float,
+) -> None:
+    # Symptom, cause: as for an agent that can't be asked. Sequence: two entries and two
+    # agents are cut off from each other; the other entry takes a job and loses its
+    # power, and an agent that runs the job is killed before it notices. Nobody is left
+    # who knew of the job when its caller comes to the first entry.
+    world = make_world(entries=2, agents=3)
+    for process in ("entry-0", "agent-0", "agent-1"):
+        world.cut_link("entry-1", process)
+    world.run(0.1)
+    world.submit("entry-0", JOB)
+    world.run(0.6)
+    submitted_at = world.now - 0.6
+    world.darken("entry-0")
+    world.run(agent_dies)
+    world.kill("agent-0")
+    run_until(world, submitted_at + RESUBMIT_SECONDS)
+    world.submit("entry-1", JOB)
+    world.run(8.0)
+    assert world.get_ends("j1")
