--- a/tests/core/runs/test_takeovers.py
+++ b/tests/core/runs/test_takeovers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from godwitbank._internal.core.runs.links import IDLE_SILENCE
 from tests.core.runs.test_failures import find_agents
 from tests.core.runs.test_path import make_world
 from tests.lib.runs_world import RunsWorld, make_job
@@ -230,8 +231,10 @@
     # power, and an agent that runs the job is killed before it notices. Nobody is left
     # who knew of the job when its caller comes to the first entry.
     world = make_world(entries=2, agents=3)
-    for process in ("entry-0", "agent-0", "agent-1"):
-        world.cut_link("entry-1", process)
+    for agent in ("agent-0", "agent-1"):
+        world.cut_link("entry-1", agent)
+    world.run(IDLE_SILENCE + 1.0)
+    world.cut_link("entry-1", "entry-0")
     world.run(0.1)
     world.submit("entry-0", JOB)
     world.run(0.6)
