Answer callers whose time is over while their jobs wait

What callers saw: no answer until their own time limit, where a job waited at an entry that had just started, or until what a lost entry ran was over. Cause: only jobs that had been taken had their deadline looked at. Change: jobs that wait are given up at their deadline, as ones that may have run, with when to come back. The time limit for answers of others, without a use now, is taken out.

--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -431,6 +431,7 @@
         if self._now >= self._tick_at:
             self._tick_at = self._now + TICK
             self.forwarding.give_up_expired()
+            self.handover.give_up_expired()
             self.handover.start_delayed()
             self.dispatcher.check_times()
 
--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -189,6 +189,24 @@
         job = delayed.job if delayed else self._unsorted.get(name)
         return job is not None and caller in job.callers
 
+    def give_up_expired(self) -> None:
+        """Answer callers whose time is over while their jobs wait here.
+
+        Whether another entry runs them isn't known.
+        """
+        for name, job in list(self._unsorted.items()):
+            if job.deadline <= self._now:
+                del self._unsorted[name]
+                self._give_up_unknown(job)
+        for delayed in self._delayed.values():
+            if not delayed.abandoned and delayed.job.deadline <= self._now:
+                delayed.abandoned = True
+                self._give_up_unknown(delayed.job)
+
+    def _give_up_unknown(self, job: Job) -> None:
+        job.ran = True
+        self._dispatcher.give_up(job, "deadline")
+
     def refuse_all(self, reason: str) -> None:
         """Refuse every job that waits here."""
         jobs = [*self._unsorted.values()]
--- a/src/godwitbank/_internal/core/runs/whereabouts.py
+++ b/src/godwitbank/_internal/core/runs/whereabouts.py
@@ -48,14 +48,9 @@
         peers = [
             link for link in self._links.list_peers() if link.hello.address != address
         ]
-        for link in self._witnesses.ask(address, peers, self._now):
+        for link in self._witnesses.ask(address, peers):
             self._send(link.stream, Locate(address))
 
-    @property
-    def is_asking(self) -> bool:
-        """Whether an answer may still come."""
-        return self._witnesses.is_waiting(self._now)
-
     def hear_located(self, link: Link, message: Located) -> None:
         """Take an answer."""
         address = message.address
--- a/src/godwitbank/_internal/core/runs/witnesses.py
+++ b/src/godwitbank/_internal/core/runs/witnesses.py
@@ -14,20 +14,15 @@
 WITNESSES = 2
 """Entries that are asked. One may be about to end, or be cut off in the same way."""
 
-ANSWER_SECONDS = 0.5
-"""Seconds after which a question is given up, and agents are asked instead. Entries
-notice within some 50 ms of each other that one is gone."""
-
 FOLLOW_SECONDS = 12.0
 """Seconds for which an entry is told what one takes that it can't reach; longer than
 callers wait (10 s)."""
 
 
 class Question(NamedTuple):
-    """A lost entry, when it was asked for, and whose answers are missing."""
+    """A lost entry, and whose answers are missing."""
 
     address: str
-    asked_at: float
     streams: frozenset[int]
 
 
@@ -39,12 +34,12 @@
         self._open: dict[str, Question] = {}
         self._reachable: dict[str, int] = {}
 
-    def ask(self, address: str, peers: list[Link], now: float) -> list[Link]:
+    def ask(self, address: str, peers: list[Link]) -> list[Link]:
         """Choose whom to ask for a lost entry; nobody if nobody is there."""
         chosen = self._rng.sample(peers, min(WITNESSES, len(peers)))
         if chosen:
             streams = frozenset(link.stream for link in chosen)
-            self._open[address] = Question(address, now, streams)
+            self._open[address] = Question(address, streams)
         return chosen
 
     def hear(self, stream: int, address: str, reachable: bool) -> bool:
@@ -93,10 +88,6 @@
                 unanswered.append(address)
         return unanswered
 
-    def is_waiting(self, now: float) -> bool:
-        """Tell whether an answer may still come."""
-        return any(now - each.asked_at < ANSWER_SECONDS for each in self._open.values())
-
 
 class Follower(NamedTuple):
     """An entry that has lost another one, and since when it asks."""
--- a/tests/core/runs/test_takeovers.py
+++ b/tests/core/runs/test_takeovers.py
@@ -246,3 +246,24 @@
     world.submit("entry-1", JOB)
     world.run(8.0)
     assert world.get_ends("j1")
+
+
+@pytest.mark.parametrize("patience", [0.3, 0.7])
+def test_a_caller_is_answered_when_its_time_is_over_while_its_job_waits(
+    patience: float,
+) -> None:
+    # Symptom: a caller is told nothing until its own time limit. Sequence: an entry has
+    # just started and can't reach another one; a job with little time comes and waits.
+    # Cause: only jobs that had been taken had their time looked at.
+    world = make_world(entries=2, agents=3)
+    world.kill("entry-1")
+    world.darken("entry-0")
+    world.add_entry("entry-0")
+    world.run(0.05)
+    submitted_at = world.now
+    world.submit("entry-0", JOB, patience)
+    world.run(patience + 0.2)
+    ((result, at),) = world.results_at["j1"]
+    assert (result.end, result.ran) == ("given_up", True)
+    assert result.retry_after
+    assert at < submitted_at + patience + 0.1
