Split what is told of jobs, and jobs that wait, from the handover

Change: tellings.py and delays.py; job_delayed is logged for each job that waits, with the reason. A test that a late entry knows jobs at agents it doesn't meet.

--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/delays.py
@@ -0,0 +1,74 @@
+"""Jobs whose start waits until others' runs of them are gone."""
+
+from collections.abc import Iterable, Mapping
+
+from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
+from godwitbank._internal.core.runs.links import SILENCE, Link
+from godwitbank._internal.core.runs.work import Job
+
+
+class Delayed:
+    """A job whose start waits until others' runs of it are gone.
+
+    :param abandoned: it won't be started here; a third entry waits in turn.
+    :param claiming: agents were asked to stop others' runs of it.
+    :param claimed_at: streams of the agents that have not answered yet.
+    :param stopping: streams of those that still stop runs of it.
+    """
+
+    __slots__ = (
+        "job",
+        "asked_at",
+        "start_at",
+        "abandoned",
+        "claiming",
+        "claimed_at",
+        "stopping",
+    )
+
+    def __init__(self, job: Job, now: float, start_at: float) -> None:
+        self.job = job
+        self.asked_at = now
+        self.start_at = start_at
+        self.abandoned = False
+        self.claiming = False
+        self.claimed_at: set[int] = set()
+        self.stopping: set[int] = set()
+
+    def claim(self, streams: Iterable[int]) -> None:
+        """Note that agents were asked to stop others' runs of it."""
+        self.claiming = True
+        self.claimed_at = set(streams)
+
+    def hear_claimed(self, stream: int, over: bool) -> bool:
+        """Take an agent's answer; tells whether all have answered that all is over."""
+        if stream not in self.claimed_at:
+            return False
+        if not over:
+            self.stopping.add(stream)
+            return False
+        self.stopping.discard(stream)
+        self.claimed_at.discard(stream)
+        return not self.claimed_at
+
+    def may_start(
+        self, links: Mapping[int, Link], now: float, expects_answers: bool
+    ) -> bool:
+        """Tell whether nothing of it can run that was claimed a while ago.
+
+        :param links: streams of the agents that are reached.
+        :param expects_answers: whether the orders of a lost entry may still be in
+            force at an agent that has not answered yet.
+        """
+        gone = self.stopping - links.keys()
+        if gone:
+            # An agent was lost that was stopping runs; their leases end.
+            self.stopping -= gone
+            self.start_at = now + LAPSE_SECONDS
+            return False
+        if self.stopping:
+            return False
+        return not expects_answers or not any(
+            now - max(links[stream].heard_at, self.asked_at) <= SILENCE
+            for stream in self.claimed_at & links.keys()
+        )
--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -10,6 +10,7 @@
 
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.events import Send
+from godwitbank._internal.core.runs.delays import Delayed
 from godwitbank._internal.core.runs.dispatcher import Dispatcher
 from godwitbank._internal.core.runs.events import Note, RunAction
 from godwitbank._internal.core.runs.fleet import AgentView
@@ -21,6 +22,7 @@
     YIELD_SECONDS,
     Takings,
 )
+from godwitbank._internal.core.runs.tellings import Tellings
 from godwitbank._internal.core.runs.whereabouts import UNREACHED, Whereabouts
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.messages import Message
@@ -36,40 +38,6 @@
 """Seconds for which an entry that has started, or stood still, waits for the others it
 knows. What those have ordered that it doesn't hear of by then is over."""
 
-FEW_PEERS = 4
-"""Other entries that are told at once of each job taken. Where there are more, they are
-told with the next proof of life: a job comes again 1.3 s later at the earliest, and a
-frame to each of 34 entries for each job was 23,500 frames a second."""
-
-
-class Delayed:
-    """A job whose start waits until others' runs of it are gone.
-
-    :param abandoned: it won't be started here; a third entry waits in turn.
-    :param claiming: agents were asked to stop others' runs of it.
-    :param claimed_at: streams of the agents that have not answered yet.
-    :param stopping: streams of those that still stop runs of it.
-    """
-
-    __slots__ = (
-        "job",
-        "asked_at",
-        "start_at",
-        "abandoned",
-        "claiming",
-        "claimed_at",
-        "stopping",
-    )
-
-    def __init__(self, job: Job, now: float, start_at: float) -> None:
-        self.job = job
-        self.asked_at = now
-        self.start_at = start_at
-        self.abandoned = False
-        self.claiming = False
-        self.claimed_at: set[int] = set()
-        self.stopping: set[int] = set()
-
 
 class Handover:
     """Decides when a job that was handed over may start at this entry."""
@@ -96,7 +64,7 @@
         self.whereabouts = Whereabouts(links, self._takings, rng)
         self._relayed: dict[str, list[int]] = {}
         self._heard: set[str] = set()
-        self._untold: dict[str, float] = {}
+        self._tellings = Tellings(links)
         self._yielding: dict[str, list[int]] = {}
         self._now = now
         self._out: Callable[[RunAction], None] = lambda action: None
@@ -106,6 +74,7 @@
         self._now = now
         self._out = out
         self.whereabouts.begin(now, out)
+        self._tellings.begin(out)
 
     def _note(self, event: str, request: str, **fields: object) -> None:
         self._out(Note(event, request, fields))
@@ -174,9 +143,14 @@
     def _hold(self, job: Job) -> None:
         # Others are told of it, too: two entries that wait for the same to be over
         # would start it at the same moment.
-        if job.spec.job not in self._unsorted:
-            self._tell_taken(job.spec.job)
-        self._unsorted[job.spec.job] = job
+        name = job.spec.job
+        if name not in self._unsorted:
+            known_at = max(
+                self._awake_since + GRACE, self._takings.find_over(job.arrival)
+            )
+            self._note_delay(name, "uninformed", known_at)
+            self._tellings.tell(name, self._now)
+        self._unsorted[name] = job
 
     def lose_caller(self, caller: int) -> None:
         """Forget the jobs that only a caller who is gone waits for."""
@@ -258,8 +232,8 @@
         # A peer that was started later must know what was taken before, also by
         # entries that are gone: their runs may live on under a lease. One of them
         # is its own former process, whose callers come to the same address again.
-        self._tell_all_taken(link.stream)
-        self._pass_on_taken(link.stream)
+        self._tellings.tell_all(link.stream, self._list_taken(), self._now)
+        self._tellings.pass_on(link.stream, self._takings, self._now)
 
     def check(self) -> None:
         """Act on what has become due."""
@@ -312,11 +286,10 @@
         over_at = self._takings.find_over(job.arrival)
         start_at = max(self._now + CLAIM_SECONDS, over_at)
         delayed = Delayed(job, self._now, start_at)
-        delayed.claiming = True
-        delayed.claimed_at = set(views)
+        delayed.claim(views)
         self._delayed[name] = delayed
-        self._counts.add("jobs_delayed", "claimed")
-        self._tell_taken(name)
+        self._note_delay(name, "claimed", start_at)
+        self._tellings.tell(name, self._now)
         for stream in views:
             self._send(stream, Claim(name))
 
@@ -325,14 +298,7 @@
         delayed = self._delayed.get(message.job)
         if delayed is None:
             return
-        if view.stream not in delayed.claimed_at:
-            return
-        if not message.over:
-            delayed.stopping.add(view.stream)
-            return
-        delayed.stopping.discard(view.stream)
-        delayed.claimed_at.discard(view.stream)
-        if not delayed.claimed_at and self._knows_agents:
+        if delayed.hear_claimed(view.stream, message.over) and self._knows_agents:
             self._start_now(delayed)
 
     @property
@@ -344,25 +310,16 @@
     def _take(self, job: Job) -> None:
         self._dispatcher.submit(job)
         if job.spec.job in self._dispatcher.jobs:
-            self._tell_taken(job.spec.job)
-
-    def _tell_taken(self, name: str) -> None:
-        peers = self._links.list_peers()
-        if len(peers) > FEW_PEERS:
-            self._untold[name] = self._now
-            return
-        for link in peers:
-            self._send(link.stream, Took([name], [0.0], ""))
+            self._tellings.tell(job.spec.job, self._now)
 
     def tell_taken(self) -> None:
         """Tell other entries what was taken since the last time."""
-        if not self._untold:
-            return
-        ages = [self._now - at for at in self._untold.values()]
-        took = Took(list(self._untold), ages, "")
-        self._untold = {}
-        for link in self._links.list_peers():
-            self._send(link.stream, took)
+        self._tellings.tell_rest(self._now)
+
+    def _note_delay(self, name: str, reason: str, until: float) -> None:
+        self._counts.add("jobs_delayed", reason)
+        seconds = round(max(0.0, until - self._now), 3)
+        self._note("job_delayed", name, reason=reason, s=seconds)
 
     def _ask_owner(self, job: Job, owner: str) -> None:
         name = job.spec.job
@@ -372,10 +329,10 @@
             self._send(link.stream, Yield(name, ""))
         elif not self.whereabouts.pass_yield(name, owner):
             start_at = self._takings.find_lapse(owner, self._now)
-        self._counts.add("jobs_delayed", "owner_gone" if link is None else "asked")
-        self._note("job_delayed", name, s=round(start_at - self._now, 3))
+        reason = "owner_gone" if link is None else "asked"
+        self._note_delay(name, reason, start_at)
         self._delayed[name] = Delayed(job, self._now, start_at)
-        self._tell_taken(name)
+        self._tellings.tell(name, self._now)
 
     def hear_yielded(self, link: Link, message: Yielded) -> None:
         """Another entry has stopped a job."""
@@ -426,26 +383,9 @@
             self._claim_next(delayed)
 
     def _is_claimed(self, delayed: Delayed) -> bool:
-        """Tell whether nothing of a job can run that was claimed a while ago."""
         views = self._dispatcher.fleet.views
-        gone = delayed.stopping - views.keys()
-        if gone:
-            # An agent was lost that was stopping runs; their leases end.
-            delayed.stopping -= gone
-            delayed.start_at = self._now + LAPSE_SECONDS
-        return not gone and not any(
-            self._may_still_answer(delayed, stream)
-            for stream in delayed.claimed_at & views.keys()
-        )
-
-    def _may_still_answer(self, delayed: Delayed, stream: int) -> bool:
-        if stream in delayed.stopping:
-            return True
-        if self._takings.confirmed:
-            # Lost entries are gone, and what they had ordered is over.
-            return False
-        heard_at = self._dispatcher.fleet.views[stream].link.heard_at
-        return self._now - max(heard_at, delayed.asked_at) <= SILENCE
+        links = {stream: view.link for stream, view in views.items()}
+        return delayed.may_start(links, self._now, not self._takings.confirmed)
 
     def hear_yield(self, link: Link, message: Yield) -> None:
         """Stop a job whose caller came to another entry, or pass that on."""
@@ -478,18 +418,11 @@
             for stream in streams:
                 self._send(stream, Yielded(name))
 
-    def _tell_all_taken(self, stream: int) -> None:
+    def _list_taken(self) -> list[Job]:
         taken = [*self._dispatcher.jobs.values()]
         taken += [delayed.job for delayed in self._delayed.values()]
         taken += self._unsorted.values()
-        ages = [self._now - job.arrival for job in taken]
-        self._send(stream, Took([job.spec.job for job in taken], ages, ""))
-
-    def _pass_on_taken(self, stream: int) -> None:
-        for owner, taken in self._takings.list_by_owner().items():
-            if self._links.find(owner) is None:
-                ages = [self._now - taking.at for taking in taken.values()]
-                self._send(stream, Took(list(taken), ages, owner))
+        return taken
 
     def hear_took(self, link: Link, message: Took) -> None:
         """Note what another entry has taken."""
--- /dev/null
+++ b/src/godwitbank/_internal/core/runs/tellings.py
@@ -0,0 +1,59 @@
+"""What one entry tells others of the jobs that it has from callers."""
+
+from collections.abc import Callable, Iterable
+
+from godwitbank._internal.core.events import Send
+from godwitbank._internal.core.runs.events import RunAction
+from godwitbank._internal.core.runs.links import Links
+from godwitbank._internal.core.runs.ownership import Takings
+from godwitbank._internal.core.runs.work import Job
+from godwitbank._internal.models.run_messages import Took
+
+FEW_PEERS = 4
+"""Other entries that are told at once of each job taken. Where there are more, they are
+told with the next proof of life: a job comes again 1.3 s later at the earliest, and a
+frame to each of 34 entries for each job was 23,500 frames a second."""
+
+
+class Tellings:
+    """Tells other entries of jobs: at once to few, together to many."""
+
+    def __init__(self, links: Links) -> None:
+        self._links = links
+        self._untold: dict[str, float] = {}
+        self._out: Callable[[RunAction], None] = lambda action: None
+
+    def begin(self, out: Callable[[RunAction], None]) -> None:
+        """Prepare for one event."""
+        self._out = out
+
+    def tell(self, name: str, now: float) -> None:
+        """Tell of a job, or remember to."""
+        peers = self._links.list_peers()
+        if len(peers) > FEW_PEERS:
+            self._untold[name] = now
+            return
+        for link in peers:
+            self._out(Send(link.stream, Took([name], [0.0], "")))
+
+    def tell_rest(self, now: float) -> None:
+        """Tell of all jobs that were remembered."""
+        if not self._untold:
+            return
+        ages = [now - at for at in self._untold.values()]
+        took = Took(list(self._untold), ages, "")
+        self._untold = {}
+        for link in self._links.list_peers():
+            self._out(Send(link.stream, took))
+
+    def tell_all(self, stream: int, jobs: Iterable[Job], now: float) -> None:
+        """Tell a new stream of all jobs."""
+        ages = {job.spec.job: now - job.arrival for job in jobs}
+        self._out(Send(stream, Took(list(ages), list(ages.values()), "")))
+
+    def pass_on(self, stream: int, takings: Takings, now: float) -> None:
+        """Tell a new stream of the jobs of entries that can't be reached."""
+        for owner, taken in takings.list_by_owner().items():
+            if self._links.find(owner) is None:
+                ages = [now - taking.at for taking in taken.values()]
+                self._out(Send(stream, Took(list(taken), ages, owner)))
--- a/tests/core/runs/test_takeovers.py
+++ b/tests/core/runs/test_takeovers.py
@@ -7,6 +7,7 @@
 
 from godwitbank._internal.core.runs.links import IDLE_SILENCE
 from tests.core.runs.test_failures import find_agents
+from tests.core.runs.test_meeting import make_wide_world
 from tests.core.runs.test_path import make_world
 from tests.lib.runs_world import RunsWorld, make_job
 
@@ -267,3 +268,20 @@
     assert (result.end, result.ran) == ("given_up", True)
     assert result.retry_after
     assert at < submitted_at + patience + 0.1
+
+
+def test_an_entry_started_later_knows_the_jobs_at_agents_that_it_does_not_meet() -> (
+    None
+):
+    # Symptom: a task runs twice. Sequence: a job is in flight at one entry; another is
+    # started, whose agents don't run it; the caller's connection breaks unnoticed and
+    # it goes to the new one. Cause: takings were told only when they happened.
+    world = make_wide_world()
+    world.submit("entry-0", JOB)
+    world.run(0.1)
+    world.kill("entry-3")
+    world.add_entry("entry-3")
+    world.run(RESUBMIT_SECONDS)
+    world.submit("entry-3", JOB)
+    world.run(8.0)
+    assert "completed" in world.get_ends("j1")
