Answer who had a job before it was told of

Cause: others remember the newest taker of a job; a new entry that told of a waiting job took the place of the one that ran it, which it couldn't reach. Ruled out: the agent that stood still (it was waited for until the other was spoken for). Change: whoever is told of a job answers who had it; that one is asked first.

--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -431,11 +431,18 @@
             self._heard.add(owner)
             self._takings.regain(owner)
             self.whereabouts.pass_on(link, message)
+        if owner == self._links.own_incarnation:
+            return
         if self._links.find(owner) is None:
             self._takings.miss(owner, self._now)
         for name, age in zip(message.jobs, message.ages, strict=False):
+            known = self._takings.get(name)
+            if not message.owner and known and known.incarnation != owner:
+                # It may not reach the one that had the job before.
+                self._tellings.remind(link.stream, name, known, self._now)
             self._takings.note(name, age, owner, self._now)
             self._give_way(name, age)
+            self._ask_earlier(name, age, owner)
 
     def _give_way(self, name: str, age: float) -> None:
         """Give up a job that another entry took later, for lost here.
@@ -448,3 +455,12 @@
         held = self._unsorted.get(name)
         if held is not None and self._now - held.arrival > age:
             self._abandon(name)
+
+    def _ask_earlier(self, name: str, age: float, owner: str) -> None:
+        """Ask an entry that had a job before this one, which claims it unknowing."""
+        delayed = self._delayed.get(name)
+        if delayed is None or delayed.abandoned or not delayed.claiming:
+            return
+        if self._now - delayed.job.arrival < age:
+            del self._delayed[name]
+            self._ask_owner(delayed.job, owner)
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -144,7 +144,7 @@
         self, own_address: str, own_incarnation: str, now: float, limit: int | None
     ) -> None:
         self.addresses = Addresses(own_address, limit)
-        self._own_incarnation = own_incarnation
+        self.own_incarnation = own_incarnation
         self._is_entry = limit is None
         self._turn_at = now
         self._by_stream: dict[int, Link] = {}
@@ -179,7 +179,7 @@
 
         :return: ``None`` if it leads back to this very process.
         """
-        if hello.incarnation == self._own_incarnation:
+        if hello.incarnation == self.own_incarnation:
             # A seed may name this process by another address.
             self.addresses.forget(dialled)
             return None
--- a/src/godwitbank/_internal/core/runs/ownership.py
+++ b/src/godwitbank/_internal/core/runs/ownership.py
@@ -171,6 +171,10 @@
             default=-math.inf,
         )
 
+    def get(self, job: str) -> Taking | None:
+        """Find who took a job, and when."""
+        return self._jobs.get(job)
+
     def find(self, job: str) -> str:
         """Find the incarnation of the peer that took a job, or an empty string."""
         taking = self._jobs.get(job)
--- a/src/godwitbank/_internal/core/runs/tellings.py
+++ b/src/godwitbank/_internal/core/runs/tellings.py
@@ -5,7 +5,7 @@
 from godwitbank._internal.core.events import Send
 from godwitbank._internal.core.runs.events import RunAction
 from godwitbank._internal.core.runs.links import Links
-from godwitbank._internal.core.runs.ownership import Takings
+from godwitbank._internal.core.runs.ownership import Taking, Takings
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.run_messages import Took
 
@@ -51,6 +51,10 @@
         ages = {job.spec.job: now - job.arrival for job in jobs}
         self._out(Send(stream, Took(list(ages), list(ages.values()), "")))
 
+    def remind(self, stream: int, name: str, known: Taking, now: float) -> None:
+        """Tell an entry that took a job who had it before: it may not know."""
+        self._out(Send(stream, Took([name], [now - known.at], known.incarnation)))
+
     def pass_on(self, stream: int, takings: Takings, now: float) -> None:
         """Tell a new stream of the jobs of entries that can't be reached."""
         for owner, taken in takings.list_by_owner().items():
--- a/tests/core/runs/test_exploration.py
+++ b/tests/core/runs/test_exploration.py
@@ -44,6 +44,8 @@
     20327,
     # Two entries were started and waited for each other with the same job.
     30019,
+    # The one that knew who had a job forgot it when a new entry told of the job.
+    50291,
 )
 """Seeds of the exploration with patient callers that once failed, with their cause."""
 
--- a/tests/core/runs/test_takeovers.py
+++ b/tests/core/runs/test_takeovers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from godwitbank._internal.core.runs.events import AddressesRead
 from godwitbank._internal.core.runs.links import IDLE_SILENCE
 from tests.core.runs.test_failures import find_agents
 from tests.core.runs.test_meeting import make_wide_world
@@ -285,3 +286,37 @@
     world.submit("entry-3", JOB)
     world.run(8.0)
     assert "completed" in world.get_ends("j1")
+
+
+@pytest.mark.parametrize("frozen_before", [0.02, 0.1, 0.3])
+def test_an_entry_that_did_not_know_who_had_a_job_is_told_by_others(
+    frozen_before: float,
+) -> None:
+    # Symptom: a task runs at two endpoints. Sequence: an entry is started, and can't
+    # reach the one that has a job; a third knows of it. The caller submits the job to
+    # the new entry, which tells the third that it waits there. An agent that runs the
+    # job stands still. The new entry learns that the first one lives, and starts the
+    # job. Cause: the third entry remembered only who had the job last, and what it
+    # passed on of the first one lacked it; the new one's log has `peer_located` with
+    # `gone` false right before `job_accepted`.
+    world = make_world(entries=3, agents=4)
+    world.submit("entry-0", make_job("j1", width=16, seconds=6.0))
+    world.run(0.3)
+    world.kill("entry-2")
+    world.cut_link("entry-2", "entry-0")
+    world.run(0.7)
+    # The third entry has no question of the first one to answer: it is started anew.
+    world.kill("entry-1")
+    world.add_entry("entry-1")
+    world.run(0.3)
+    world.add_entry("entry-2")
+    world.processes["entry-2"].give(AddressesRead(("entry-0",)))
+    started_at = world.now
+    world.run(0.4)
+    world.submit("entry-2", make_job("j1", width=16, seconds=6.0))
+    run_until(world, started_at + 1.1 - frozen_before)
+    world.freeze("agent-3")
+    world.run(0.55)
+    world.thaw("agent-3")
+    world.run(8.0)
+    assert world.get_ends("j1")
