--- /dev/null
+++ b/tests/core/runs/test_delays.py
@@ -0,0 +1,56 @@
+"""Jobs that wait until agents have said that others' runs of them are over."""
+
+from godwitbank._internal.core.runs.delays import Delayed
+from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
+from godwitbank._internal.core.runs.links import SILENCE, Link
+from godwitbank._internal.core.runs.work import Job
+from godwitbank._internal.models.messages import Hello, Role
+from tests.lib.runs_world import QUEUE, make_job
+
+NOW = 100.0
+STREAMS = (1, 2)
+
+
+def make_links() -> dict[int, Link]:
+    """Make streams to two agents."""
+    hello = Hello(1, Role.AGENT, "agent", "agent#1", "agent", "zone-1")
+    return {stream: Link(stream, hello, "", NOW) for stream in STREAMS}
+
+
+def make_delayed() -> Delayed:
+    """Make a job that was claimed at two agents."""
+    delayed = Delayed(Job(make_job("j1"), QUEUE, 1, NOW, 5.0), NOW, NOW)
+    delayed.claim(STREAMS)
+    return delayed
+
+
+def test_all_agents_must_have_answered() -> None:
+    delayed = make_delayed()
+    assert not delayed.hear_claimed(1, over=True)
+    assert delayed.hear_claimed(2, over=True)
+
+
+def test_an_agent_that_stops_runs_is_waited_for() -> None:
+    delayed = make_delayed()
+    delayed.hear_claimed(1, over=False)
+    delayed.hear_claimed(2, over=True)
+    assert not delayed.may_start(make_links(), NOW + 5.0, expects_answers=False)
+    assert delayed.hear_claimed(1, over=True)
+
+
+def test_the_leases_of_an_agent_that_was_lost_while_it_stopped_runs_end() -> None:
+    delayed = make_delayed()
+    delayed.hear_claimed(1, over=False)
+    links = make_links()
+    del links[1]
+    assert not delayed.may_start(links, NOW + 0.2, expects_answers=False)
+    assert delayed.start_at == NOW + 0.2 + LAPSE_SECONDS
+    assert delayed.may_start(links, delayed.start_at, expects_answers=False)
+
+
+def test_a_silent_agent_is_waited_for_while_a_lost_entry_may_live() -> None:
+    delayed = make_delayed()
+    links = make_links()
+    assert not delayed.may_start(links, NOW + SILENCE - 0.01, expects_answers=True)
+    assert delayed.may_start(links, NOW + SILENCE + 0.01, expects_answers=True)
+    assert delayed.may_start(links, NOW + 0.05, expects_answers=False)
