--- a/src/godwitbank/_internal/core/pressure.py
+++ b/src/godwitbank/_internal/core/pressure.py
@@ -22,9 +22,7 @@
 
 BEHIND = 0.03
 """Seconds of lateness at which a process is behind. A job is read, placed and answered
-in several turns of the loop, each as late; tasks of a tenth of a second are late then.
-With two entries that get 1.6 times what they can serve, 0.56 of the jobs are done in
-time with this, 0.55 with 0.05 and 0.53 with 0.02 (played in one clock, 1,169 jobs)."""
+in several turns of the loop, each as late; tasks of a tenth of a second are late then."""
 
 CAUGHT_UP = 0.025
 """Seconds of lateness at which it isn't any more; apart from ``BEHIND``, so that a
--- a/src/godwitbank/_internal/core/runs/addresses.py
+++ b/src/godwitbank/_internal/core/runs/addresses.py
@@ -1,8 +1,7 @@
 """Addresses of entries: which are known, and which a process keeps a stream to.
 
 An entry keeps one to every other entry. An agent keeps some only, so that what agents
-and entries spend on each other does not grow with their number: with a stream from each
-of 160 agents to each of 35 entries, proofs of life alone were 56,000 frames a second.
+and entries spend on each other does not grow with their number.
 """
 
 import math
--- a/src/godwitbank/_internal/core/runs/admission.py
+++ b/src/godwitbank/_internal/core/runs/admission.py
@@ -26,21 +26,14 @@
 
 Above it more arrives than can be served. What is taken then makes something else
 late: a long job that may wait a second is overtaken for longer than that. Less urgent
-work doesn't count: it lets the new job pass. Played in the lab (4 seeds, endpoints of
-two sizes and speeds): at 100, 130 % of capacity and in a surge with slow endpoints
-0.878, 0.714 and 0.632 of the worth with 0.03, and 0.888, 0.709 and 0.622 with this,
-which refuses a fifth less and hardly anything while a quarter of the room is idle.
+work doesn't count: it lets the new job pass.
 """
 
 SIZE_EXPONENT = 0.5
 """Power of a job's size, against its queue's mean, by which ``MAX_DRAIN`` shrinks.
 
-While not all can be served, the room of one large job serves several small ones. In the
-lab (4 seeds) at 130 % of capacity and in a surge 0.728 and 0.634 of the worth instead
-of 0.713 and 0.620, and 0.178 and 0.233 of the jobs refused instead of 0.238 and 0.274;
-at 100 % no difference. A power of 1 earns 0.735 and 0.645, but a job of four times the
-mean gets a quarter of the limit, and at 100 % the worst-served queue falls from 0.836
-to 0.811."""
+While not all can be served, the room of one large job serves several small ones. With
+a power of 1 the queue of the largest jobs would hardly be served."""
 
 MAX_SIZE_FACTOR = 2.0
 """Largest multiple of ``MAX_DRAIN``, for jobs a quarter of the mean or smaller."""
--- a/src/godwitbank/_internal/core/runs/bulletins.py
+++ b/src/godwitbank/_internal/core/runs/bulletins.py
@@ -14,14 +14,11 @@
 
 PAUSE_SECONDS = 0.03
 """Seconds between two messages about room that no entry waits for, so that an agent
-sends 33 a second at the most, however many entries there are. Played load of ten
-entries and 61 agents, 4 s, two seeds: at 107 % of capacity 0.955 and 0.955 of the worth
-with 37,000 such messages (0.03), 0.968 and 0.958 with 96,000 (0.005); below 95 % all
-of the worth either way."""
+sends 33 a second at the most, however many entries there are."""
 
 FEW_ENTRIES = 4
 """Entries that are told at once: so few messages cost no more than the wake-up that
-would send them later (0.81 against 0.92 ms of a core a run with one entry)."""
+would send them later."""
 
 
 class Told:
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -315,8 +315,7 @@
         """Move a slow run, if there is room for it elsewhere now.
 
         What it has done so far is lost. While work waits for room that would make
-        other work late: played at 90 % of capacity with two endpoints of eleven five
-        times slower, moving at once earned 0.85 of the worth, as much as not moving.
+        other work late.
         """
         task = view.tasks.get(message.task)
         if task is None or task.run != message.run or task.job.ending:
--- a/src/godwitbank/_internal/core/runs/forwarding.py
+++ b/src/godwitbank/_internal/core/runs/forwarding.py
@@ -30,9 +30,7 @@
 
 SPARE_LAG = 0.005
 """Mean lateness in seconds below which an entry is handed jobs of others. Above
-``FORWARD_LAG`` entries with nothing to spare hand jobs to each other: with two that get
-1.6 times what they can serve, 0.48 of the jobs are done in time with 0.02, 0.56 with
-0.01 and 0.58 with this (played in one clock, 1,169 jobs)."""
+``FORWARD_LAG`` entries with nothing to spare hand jobs to each other."""
 
 SHED_LAG = 0.1
 """Seconds of lateness from which even handing on is too much work: callers are refused
--- a/src/godwitbank/_internal/core/runs/intake.py
+++ b/src/godwitbank/_internal/core/runs/intake.py
@@ -78,9 +78,8 @@
         if not adopted and self._forwarding.try_forward(event):
             return
         if self._pressure.behind:
-            # Taken now it would be late, and make all others later. Played in one clock
-            # at 1.9 times what an entry can serve, nothing was done in time after three
-            # seconds, as it worked for callers that had left.
+            # Taken now it would be late, and make all others later, until the entry
+            # works for callers that have left.
             self._refuse(event, "no_processor")
             return
         job = Job(spec, queue, event.caller, self._now, event.patience)
--- a/src/godwitbank/_internal/core/runs/ownership.py
+++ b/src/godwitbank/_internal/core/runs/ownership.py
@@ -25,8 +25,8 @@
 
 CLAIM_SECONDS = 0.05
 """Seconds agents have to answer a claim once all that lost entries ordered is over;
-those that live do within 5 ms. Longer waits for agents that were dark made every job
-late while an entry was missing, too."""
+those that live do at once. Longer waits for agents that are dark would make every job
+late while an entry is missing, too."""
 
 
 class Taking(NamedTuple):
--- a/src/godwitbank/_internal/core/runs/placement.py
+++ b/src/godwitbank/_internal/core/runs/placement.py
@@ -16,10 +16,8 @@
 keeps for it what becomes free there. A large task would starve otherwise.
 
 No other task waits at an agent: bound to one, a job's last task waits for the slowest,
-and room that is too small for it stays idle. In the lab (4 seeds) at 100 and 130 % of
-capacity and in a surge: 0.877, 0.714, 0.621 of the worth instead of 0.855, 0.669 and
-0.573 with one waiting an entry and agent. It costs the way from entry to agent for each
-start: where all tasks need the same, 0.915 instead of 0.921 at 99 % of capacity."""
+and room that is too small for it stays idle. It costs the way from entry to agent for
+each start."""
 
 AWAY_FACTOR = 1.5
 """How much longer a run takes away from its data (platform's figure)."""
--- a/src/godwitbank/_internal/core/runs/tellings.py
+++ b/src/godwitbank/_internal/core/runs/tellings.py
@@ -11,8 +11,8 @@
 
 FEW_PEERS = 4
 """Other entries that are told at once of each job taken. Where there are more, they are
-told with the next proof of life: a job comes again 1.3 s later at the earliest, and a
-frame to each of 34 entries for each job was 23,500 frames a second."""
+told with the next proof of life: a job comes again 1.3 s later at the earliest, and
+frames for each job to each entry would grow with the product."""
 
 
 class Tellings:
