--- a/src/godwitbank/_internal/core/pressure.py
+++ b/src/godwitbank/_internal/core/pressure.py
@@ -22,7 +22,8 @@
 
 BEHIND = 0.03
 """Seconds of lateness at which a process is behind. A job is read, placed and answered
-in several turns of the loop, each as late; tasks of a tenth of a second are late then."""
+in several turns of the loop, each as late; tasks of a tenth of a second are late
+then."""
 
 CAUGHT_UP = 0.025
 """Seconds of lateness at which it isn't any more; apart from ``BEHIND``, so that a
