Wait for an agent that stands still until its leases are over

What callers saw: nothing yet; in a script a task ran at two endpoints. Cause: where nobody confirms that a lost entry is gone, an agent without an answer was waited for 0.7 s, the time after which a stream counts as dead; what it runs goes on for 1.1 s, and an agent whose stream ended meanwhile wasn't waited for at all. Ruled out: the lease being longer than granted (the runs ended within 1.1 s of the standstill). Change: both are waited for until their leases are over. Conclusion: stays; it costs 0.4 s more where two entries alone have lost each other and an agent stands still.

--- a/src/godwitbank/_internal/core/runs/delays.py
+++ b/src/godwitbank/_internal/core/runs/delays.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
-from godwitbank._internal.core.runs.links import SILENCE, Link
+from godwitbank._internal.core.runs.links import Link
 from godwitbank._internal.core.runs.work import Job
 
 
@@ -60,15 +60,17 @@
         :param expects_answers: whether the orders of a lost entry may still be in
             force at an agent that has not answered yet.
         """
-        gone = self.stopping - links.keys()
+        awaited = self.claimed_at if expects_answers else self.stopping
+        gone = awaited - links.keys()
         if gone:
-            # An agent was lost that was stopping runs; their leases end.
+            # An agent was lost that may have runs of it; their leases end.
+            self.claimed_at -= gone
             self.stopping -= gone
             self.start_at = now + LAPSE_SECONDS
             return False
         if self.stopping:
             return False
         return not expects_answers or not any(
-            now - max(links[stream].heard_at, self.asked_at) <= SILENCE
-            for stream in self.claimed_at & links.keys()
+            now - max(links[stream].heard_at, self.asked_at) <= LAPSE_SECONDS
+            for stream in self.claimed_at
         )
--- a/tests/core/runs/test_delays.py
+++ b/tests/core/runs/test_delays.py
@@ -2,7 +2,7 @@
 
 from godwitbank._internal.core.runs.delays import Delayed
 from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
-from godwitbank._internal.core.runs.links import SILENCE, Link
+from godwitbank._internal.core.runs.links import Link
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.messages import Hello, Role
 from tests.lib.runs_world import QUEUE, make_job
@@ -48,9 +48,19 @@
     assert delayed.may_start(links, delayed.start_at, expects_answers=False)
 
 
+def test_the_leases_of_an_agent_that_was_lost_before_it_answered_end() -> None:
+    delayed = make_delayed()
+    links = make_links()
+    del links[1]
+    assert not delayed.may_start(links, NOW + 0.7, expects_answers=True)
+    assert delayed.start_at == NOW + 0.7 + LAPSE_SECONDS
+
+
 def test_a_silent_agent_is_waited_for_while_a_lost_entry_may_live() -> None:
     delayed = make_delayed()
     links = make_links()
-    assert not delayed.may_start(links, NOW + SILENCE - 0.01, expects_answers=True)
-    assert delayed.may_start(links, NOW + SILENCE + 0.01, expects_answers=True)
+    assert not delayed.may_start(
+        links, NOW + LAPSE_SECONDS - 0.01, expects_answers=True
+    )
+    assert delayed.may_start(links, NOW + LAPSE_SECONDS + 0.01, expects_answers=True)
     assert delayed.may_start(links, NOW + 0.05, expects_answers=False)
--- a/tests/core/runs/test_takeovers.py
+++ b/tests/core/runs/test_takeovers.py
@@ -320,3 +320,24 @@
     world.thaw("agent-3")
     world.run(8.0)
     assert world.get_ends("j1")
+
+
+@pytest.mark.parametrize("asked_after", [0.0, 0.05, 0.1, 0.15, 0.2, 0.25])
+def test_an_agent_that_stands_still_is_waited_for_until_its_leases_are_over(
+    asked_after: float,
+) -> None:
+    # Symptom: a task runs at two endpoints. Sequence: two entries can't reach each
+    # other, and nobody else is there to ask. One takes a job, whose caller comes to the
+    # other; an agent that runs it stands still. Cause: the time after which a stream
+    # counts as dead was taken for the one after which its agent's runs are over.
+    world = make_world(entries=2, agents=3)
+    world.cut_link("entry-0", "entry-1")
+    world.run(1.0)
+    world.submit("entry-0", make_job("j1", width=16, seconds=4.0))
+    world.run(RESUBMIT_SECONDS + asked_after)
+    world.freeze("agent-0")
+    world.submit("entry-1", make_job("j1", width=16, seconds=4.0))
+    world.run(1.5)
+    world.thaw("agent-0")
+    world.run(8.0)
+    assert world.get_ends("j1")
