--- a/tests/core/runs/test_exploration.py
+++ b/tests/core/runs/test_exploration.py
@@ -46,6 +46,9 @@
     30019,
     # The one that knew who had a job forgot it when a new entry told of the job.
     50291,
+    # A caller whose connection was broken twice submits its job to two entries within
+    # 0.1 s, which were cut off from each other just before and haven't noticed yet.
+    60131,
 )
 """Seeds of the exploration with patient callers that once failed, with their cause."""
 
