Start nothing in evacuated availability zones

Cause: operators ask at the store that nothing more be sent to the endpoints of a zone; no line of the code knew of it.

Change: entries hold the set of evacuated zones as of a revision of the store. The revision orders it: older knowledge never undoes newer, and a peer that tells older knowledge is told the newer at once. Entries tell it to all entries and agents when it changes and first thing on each new stream, before the configuration that lets an entry place runs. An entry offers nothing in such a zone; capacity, admission and handing on follow, as all of them look at open agents only. The last guard is the agent: it refuses orders under way and those of an entry that knows less, sends back what waits there, and repeats no order. Runs at work end in peace. Jobs that fit nowhere else are refused at once, those that wait are answered at once. Taken back: what entries and agents have learnt of the zone's endpoints is forgotten; an endpoint that tells that it is still cold gets nothing while warm room is free. Orders that an agent refuses now say why (room, zone, claimed, too_old, ...), in the log and in a counter (orders_refused, which replaces orders_too_old). Messages have changed: protocol version 5.

Ruled out: agents that read the store themselves. With 75 agents that is 4 calls a second for ever (each is paid for; 300 a second at 6,100 agents), and an agent without an entry gets no orders.

--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -23,6 +23,7 @@
 from godwitbank._internal.core.runs.addresses import ENTRIES_PER_AGENT
 from godwitbank._internal.core.runs.bulletins import Bulletins
 from godwitbank._internal.core.runs.endpoint import Endpoint
+from godwitbank._internal.core.runs.evacuations import Evacuations
 from godwitbank._internal.core.runs.events import (
     AddressesRead,
     Departed,
@@ -40,7 +41,7 @@
 from godwitbank._internal.core.runs.links import Link, Links
 from godwitbank._internal.core.runs.moves import StreamMoves
 from godwitbank._internal.core.runs.runner import Runner
-from godwitbank._internal.models.jobs import RunEnd
+from godwitbank._internal.models.jobs import Evacuation, RunEnd
 from godwitbank._internal.models.messages import (
     PROTOCOL_VERSION,
     Hello,
@@ -53,6 +54,7 @@
     Alive,
     Claim,
     EndpointNews,
+    Evacuated,
     Holding,
     Pulse,
     Room,
@@ -93,6 +95,7 @@
         self.counts = Counts() if counts is None else counts
         self.links = Links(identity.address, identity.incarnation, now, entries)
         self.endpoint = Endpoint(now)
+        self.evacuations = Evacuations()
         self.runner = Runner(
             self.endpoint, self.links, self.counts, now, self._lose_endpoint
         )
@@ -127,6 +130,7 @@
             Claim: self.runner.claim,
             Peers: self._hear_peers,
             Alive: self._hear_alive,
+            Evacuated: self._hear_evacuated,
         }
 
     def handle(self, event: object, now: float) -> list[RunAction]:
@@ -162,6 +166,11 @@
         """Whether new runs are taken."""
         return self.runner.open
 
+    @property
+    def evacuated(self) -> bool:
+        """Whether the endpoint's zone is to get no new runs."""
+        return self.runner.evacuated
+
     @property
     def stopping(self) -> bool:
         """Whether this process was asked to end."""
@@ -174,6 +183,7 @@
             "instance": self.endpoint.instance,
             "service": self.endpoint.service,
             "open": self.open,
+            "evacuated": self.evacuated,
             "free": list(self.shelf.free),
             "placed": len(self.shelf.list_placed()),
             "lag": round(self.pressure.lag, 3),
@@ -254,6 +264,19 @@
     def _hear_alive(self, link: Link, message: Alive) -> None:
         self.runner.prove_life(link, message.clock)
 
+    def _hear_evacuated(self, link: Link, message: Evacuated) -> None:
+        told = Evacuation(frozenset(map(str, message.zones)), message.revision)
+        if self.evacuations.install(told) is None:
+            return
+        evacuated = self.evacuations.covers(self.identity.zone)
+        if evacuated == self.evacuated:
+            return
+        source = link.hello.process
+        self._note(
+            "evacuation", evacuated=evacuated, revision=told.revision, source=source
+        )
+        self.runner.set_evacuated(evacuated)
+
     # The endpoint itself
 
     def _report(self, event: Reported) -> None:
@@ -371,6 +394,7 @@
             list(self.endpoint.labels),
             self.open,
             self.endpoint.settled,
+            self.endpoint.is_cold(self._now),
         )
         free = self.shelf.free - self.shelf.parked_needs
         self._note_owners()
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -46,7 +46,7 @@
 """Multiple of the room that a job of another entry's caller needs that must be free:
 others place there at the same moment."""
 
-_ROOM_ELSEWHERE = {"overload", "no_endpoint", "arriving"}
+_ROOM_ELSEWHERE = {"overload", "no_endpoint", "arriving", "evacuated"}
 """Refusals for want of room at the agents met here; others meet other ones."""
 
 _NOT_STARTED = {
@@ -58,6 +58,9 @@
 }
 
 
+_UNPLACED = {TaskState.BLOCKED, TaskState.WAITING}
+
+
 class Dispatcher:
     """Places tasks at agents and turns their outcomes into results."""
 
@@ -133,9 +136,12 @@
             # This process ends before the job would.
             return "stopping"
         service = job.queue.service
-        views = self.fleet.list_open(service)
         for step in job.spec.steps:
-            if views and not any(step.needs.fits(view.capacity) for view in views):
+            if self.fleet.has_place(service, step):
+                continue
+            if self.fleet.has_evacuated_place(service, step):
+                return "evacuated"
+            if self.fleet.list_open(service):
                 return "too_large"
         capacity = self.fleet.measure_capacity(service, self._now)
         young = self._now - self._booted_at < ARRIVAL_SECONDS
@@ -302,6 +308,30 @@
         # Late work lets all timely work pass, at the agent too.
         return left if left >= 0 else LATE_RANK - left
 
+    # Evacuated zones
+
+    def evacuate(self, zones: frozenset[str], changed: frozenset[str]) -> None:
+        """Place nothing new in some zones, and use those that were taken back."""
+        self.fleet.evacuate(zones, changed)
+        self._give_up_stranded()
+        for service in self._waiting:
+            self.dispatch(service)
+
+    def _give_up_stranded(self) -> None:
+        """Answer callers whose tasks would have to wait for an evacuated zone."""
+        for job in list(self.jobs.values()):
+            if not job.ending and self._is_stranded(job):
+                self.give_up(job, "evacuated")
+
+    def _is_stranded(self, job: Job) -> bool:
+        service = job.queue.service
+        return self.fleet.has_evacuated and any(
+            not self.fleet.has_place(service, rules)
+            and self.fleet.has_evacuated_place(service, rules)
+            for rules, tasks in zip(job.spec.steps, job.tasks, strict=True)
+            if any(task.state in _UNPLACED for task in tasks)
+        )
+
     # Outcomes
 
     def hear_begun(self, view: AgentView, message: RunBegun) -> None:
@@ -427,6 +457,8 @@
 
     def _requeue(self, task: Task) -> None:
         self._get_waiting(task.job).add(task)
+        if self._is_stranded(task.job):
+            self.give_up(task.job, "evacuated")
 
     # Agents that come and go
 
--- a/src/godwitbank/_internal/core/runs/endpoint.py
+++ b/src/godwitbank/_internal/core/runs/endpoint.py
@@ -70,6 +70,7 @@
         self.settled = False
         self.reporting = False
         self._reported_at = now
+        self._cold_until = now
         self._sequence = 0
         self._former: set[str] = set()
         self._inherits = True
@@ -108,12 +109,17 @@
         self.draining = report.draining
         self._sequence = report.sequence
         self._reported_at = now
+        self._cold_until = now + report.cold_left
         self.reporting = True
         self.clock.hear(report.clock, now)
         if not self.token:
             self.raise_token(now)
         return Change(changes, replaced)
 
+    def is_cold(self, now: float) -> bool:
+        """Tell whether runs still take longer here after the endpoint's start."""
+        return bool(self.instance) and now < self._cold_until
+
     def _is_news(self, report: EndpointReport) -> bool:
         # The service never changes within a boot; another one was written by
         # somebody else, and its sequence must not hide the endpoint's own reports.
@@ -150,7 +156,7 @@
         """
         if self.instance:
             return False
-        recalled = report._replace(sequence=0, clock=0)
+        recalled = report._replace(sequence=0, clock=0, cold_left=0.0)
         self.hear_report(recalled, now)
         # Its clock must come from the endpoint itself.
         self.clock.reset()
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -19,10 +19,12 @@
 from godwitbank._internal.core.pressure import Pressure
 from godwitbank._internal.core.runs.addresses import ENTRIES_PER_AGENT
 from godwitbank._internal.core.runs.dispatcher import Dispatcher
+from godwitbank._internal.core.runs.evacuations import Evacuations
 from godwitbank._internal.core.runs.events import (
     AddressesRead,
     CallerGone,
     ConfigurationRead,
+    EvacuationRead,
     JobCancelled,
     JobSubmitted,
     Lagged,
@@ -39,6 +41,7 @@
 from godwitbank._internal.core.runs.routes import RouteTable
 from godwitbank._internal.models.jobs import (
     Configuration,
+    Evacuation,
     QueueRules,
 )
 from godwitbank._internal.models.messages import (
@@ -53,6 +56,7 @@
     Alive,
     Claimed,
     EndpointNews,
+    Evacuated,
     Forward,
     Forwarded,
     Holding,
@@ -104,6 +108,7 @@
         self.counts = Counts() if counts is None else counts
         self.links = Links(identity.address, identity.incarnation, now, None)
         self.routes = RouteTable()
+        self.evacuations = Evacuations()
         self.pressure = Pressure()
         self.dispatcher = Dispatcher(
             identity.zone, rng, self.counts, now, self.pressure, policy
@@ -139,6 +144,7 @@
         self._handlers: dict[type, Callable] = {
             AddressesRead: self._learn,
             ConfigurationRead: self._read_configuration,
+            EvacuationRead: self._read_evacuation,
             JobSubmitted: self.intake.submit,
             CallerGone: self.intake.lose_caller,
             JobCancelled: self.intake.cancel,
@@ -162,6 +168,7 @@
         self._peer_receivers: dict[type, Callable] = {
             Pulse: self._hear_pulse,
             Rules: self._hear_rules,
+            Evacuated: self._hear_evacuated,
             Peers: self._hear_peers,
             Took: self.handover.hear_took,
             Yield: self.handover.hear_yield,
@@ -224,6 +231,7 @@
         return {
             "entry": self.identity.process,
             "version": self.routes.version,
+            "evacuated": sorted(self.evacuations.newest.zones),
             "jobs": len(self.dispatcher.jobs),
             "lag": round(self.pressure.lag, 3),
             "agents": [
@@ -284,6 +292,8 @@
         self._send(event.stream, Peers(self.links.addresses.list_known(), []))
         self.handover.regain_peer(link)
         self._count_entries()
+        # Before the rules, which make the other end ready to place runs.
+        self._send_evacuation(event.stream)
         self._send_rules(event.stream)
 
     def _count_entries(self) -> None:
@@ -298,7 +308,9 @@
         if old is not None:
             self._out.append(CloseStream(old.stream, "replaced"))
             self._close(StreamClosed(old.stream))
-        fleet.add(link, self._now)
+        view = fleet.add(link, self._now)
+        view.evacuated = self.evacuations.covers(view.zone)
+        self._send_evacuation(link.stream)
         self._send(link.stream, Peers(self.links.addresses.list_known(), []))
 
     def _close(self, event: StreamClosed) -> None:
@@ -409,6 +421,33 @@
             queues = [list(queue) for queue in held.queues]
             self._send(stream, Rules(held.version, queues, held.max_body))
 
+    # Evacuated zones
+
+    def _read_evacuation(self, event: EvacuationRead) -> None:
+        self._install_evacuation(event.evacuation, "store")
+
+    def _hear_evacuated(self, link: Link, message: Evacuated) -> None:
+        told = Evacuation(frozenset(map(str, message.zones)), message.revision)
+        if self.evacuations.is_outdated(told):
+            self._send_evacuation(link.stream)
+            return
+        self._install_evacuation(told, link.hello.process)
+
+    def _install_evacuation(self, told: Evacuation, source: str) -> None:
+        changed = self.evacuations.install(told)
+        if changed is None:
+            return
+        zones = sorted(told.zones)
+        self._note("evacuation", zones=zones, revision=told.revision, source=source)
+        for link in self.links:
+            self._send_evacuation(link.stream)
+        self.dispatcher.evacuate(told.zones, changed)
+
+    def _send_evacuation(self, stream: int) -> None:
+        if self.evacuations.known:
+            newest = self.evacuations.newest
+            self._send(stream, Evacuated(sorted(newest.zones), newest.revision))
+
     # Time
 
     def _note_lag(self, event: Lagged) -> None:
--- a/src/godwitbank/_internal/core/runs/events.py
+++ b/src/godwitbank/_internal/core/runs/events.py
@@ -10,6 +10,7 @@
 from godwitbank._internal.models.jobs import (
     Configuration,
     EndpointReport,
+    Evacuation,
     JobResult,
     JobSpec,
     ListedEnd,
@@ -47,6 +48,12 @@
     configuration: Configuration
 
 
+class EvacuationRead(NamedTuple):
+    """Which availability zones are evacuated was read from the store."""
+
+    evacuation: Evacuation
+
+
 class AddressesRead(NamedTuple):
     """Stream addresses of entries were read from the store or the settings."""
 
--- a/src/godwitbank/_internal/core/runs/fleet.py
+++ b/src/godwitbank/_internal/core/runs/fleet.py
@@ -7,6 +7,7 @@
 from godwitbank._internal.core.runs.health import Health
 from godwitbank._internal.core.runs.links import Link
 from godwitbank._internal.core.runs.work import Task
+from godwitbank._internal.models.jobs import StepSpec
 from godwitbank._internal.models.resources import Resources
 from godwitbank._internal.models.run_messages import EndpointNews, Room
 
@@ -38,6 +39,7 @@
 class AgentView:
     """An agent with an open stream, as one entry sees it.
 
+    :ivar evacuated: its zone's endpoints are to get nothing new.
     :ivar lag: how late the agent acts on orders, in seconds, as last told.
     :ivar free: room as last told, less what is on its way there. Read for every agent
         at every choice, far oftener than it changes.
@@ -61,6 +63,7 @@
         self.labels: frozenset[str] = frozenset()
         self.tasks: dict[str, Task] = {}
         self.parked_by_others = 0
+        self.evacuated = False
         self.slowness = 1.0
         self.lag = 0.0
         self.my_parked = 0
@@ -73,7 +76,17 @@
     @property
     def open(self) -> bool:
         """Whether the agent takes new runs."""
-        return self.news is not None and self.news.open
+        return self.news is not None and self.news.open and not self.evacuated
+
+    @property
+    def cold(self) -> bool:
+        """Whether runs take longer here for a while after the endpoint's start."""
+        return self.news is not None and self.news.cold
+
+    def can_take(self, rules: StepSpec) -> bool:
+        """Tell whether a step's task would fit here if nothing else were here."""
+        labelled = not rules.label or rules.label in self.labels
+        return labelled and rules.needs.fits(self.capacity)
 
     @property
     def service(self) -> str:
@@ -149,6 +162,8 @@
         self._capacity: dict[str, Measured] = {}
         self._health: dict[str, Health] = {}
         self._missing: dict[str, float] = {}
+        self.has_evacuated = False
+        """Whether any zone is evacuated."""
 
     def add(self, link: Link, now: float) -> AgentView:
         """Note an agent's new stream."""
@@ -191,6 +206,32 @@
             ]
         return found
 
+    def evacuate(self, zones: frozenset[str], changed: frozenset[str]) -> None:
+        """Offer nothing in evacuated zones.
+
+        What was learnt of endpoints before their zone was evacuated or taken back is
+        no longer true: they may have been started anew meanwhile.
+        """
+        self.has_evacuated = bool(zones)
+        for view in self.views.values():
+            view.evacuated = view.zone in zones
+            if view.zone in changed:
+                view.health.clear()
+                view.slowness = 1.0
+        self._open.clear()
+        self._capacity.clear()
+
+    def has_place(self, service: str, rules: StepSpec) -> bool:
+        """Tell whether any endpoint that takes runs is large enough for a task."""
+        return any(view.can_take(rules) for view in self.list_open(service))
+
+    def has_evacuated_place(self, service: str, rules: StepSpec) -> bool:
+        """Tell whether a task would have a place if no zone were evacuated."""
+        return any(
+            view.evacuated and view.service == service and view.can_take(rules)
+            for view in self.views.values()
+        )
+
     @property
     def has_open(self) -> bool:
         """Whether any agent takes runs."""
@@ -203,6 +244,7 @@
         """
         return any(
             now - view.opened_at < ARRIVAL_SECONDS
+            and not view.evacuated
             and (view.news is None or not view.news.settled)
             for view in self.views.values()
         )
--- a/src/godwitbank/_internal/core/runs/placement.py
+++ b/src/godwitbank/_internal/core/runs/placement.py
@@ -73,6 +73,11 @@
         roomy = [view for view in views if view.free.cpu >= cpu]
         if not roomy:
             return None
+        warm = [view for view in roomy if not view.cold]
+        if warm and len(warm) < len(roomy):
+            place = self._choose_of_all(warm, task)
+            if place is not None and not _is_slow(place.view):
+                return place
         if len(roomy) > SAMPLE:
             sample = self._rng.sample(roomy, SAMPLE)
             place = self._choose_of_all(sample, task)
--- a/src/godwitbank/_internal/core/runs/runner.py
+++ b/src/godwitbank/_internal/core/runs/runner.py
@@ -78,6 +78,8 @@
         self.slowness = Slowness(now)
         self.outbox = Outbox()
         self.stopping = False
+        self.evacuated = False
+        """Whether the endpoint's zone is to get no new runs."""
         self._endpoint = endpoint
         self._links = links
         self._counts = counts
@@ -97,7 +99,17 @@
     @property
     def open(self) -> bool:
         """Whether new runs are taken."""
-        return self._endpoint.open and not self.stopping
+        return self._endpoint.open and not self.stopping and not self.evacuated
+
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Begin or end the evacuation of the endpoint's zone.
+
+        What runs there ends in peace; what waits goes back to its entries.
+        """
+        self.evacuated = evacuated
+        self.slowness = Slowness(self._now)
+        if evacuated:
+            self.return_parked()
 
     def prove_life(self, link: Link, at: float) -> None:
         """Note that an entry lived at a moment, on the clock of this agent."""
@@ -157,26 +169,27 @@
         if present is not None:
             if present.order.run != order.run or present.owner != held.owner:
                 # Another run of the task may still be alive here.
-                self._tell_outcome(held, RunEnd.NOT_STARTED)
+                self._refuse(held, RunEnd.NOT_STARTED, "present")
             return
         if self._now - order.sent_at > ORDER_SECONDS:
-            self._counts.add("orders_too_old")
-            self._tell_outcome(held, RunEnd.NOT_STARTED)
-            return
-        if not self._claims.allows(held.job, held.owner):
-            self._tell_outcome(held, RunEnd.TAKEN_OVER)
-            return
-        if not self.open or link.leaving:
-            self._tell_outcome(held, RunEnd.CLOSED)
-            return
-        if not held.needs.fits(self.shelf.capacity):
-            self._tell_outcome(held, RunEnd.INVALID)
-            return
-        if not order.parks and not self._has_room(held):
+            self._refuse(held, RunEnd.NOT_STARTED, "too_old")
+        elif not self._claims.allows(held.job, held.owner):
+            self._refuse(held, RunEnd.TAKEN_OVER, "claimed")
+        elif self.evacuated:
+            self._refuse(held, RunEnd.CLOSED, "zone")
+        elif not self.open or link.leaving:
+            self._refuse(held, RunEnd.CLOSED, "closed")
+        elif not held.needs.fits(self.shelf.capacity):
+            self._refuse(held, RunEnd.INVALID, "too_large")
+        elif not order.parks and not self._has_room(held):
             # Two entries chose this agent for the same room.
-            self._tell_outcome(held, RunEnd.NOT_STARTED)
-            return
-        self.shelf.park(held)
+            self._refuse(held, RunEnd.NOT_STARTED, "room")
+        else:
+            self.shelf.park(held)
+
+    def _refuse(self, held: HeldRun, end: RunEnd, reason: str) -> None:
+        self._counts.add("orders_refused", reason)
+        self._tell_outcome(held, end, reason=reason)
 
     def _has_room(self, held: HeldRun) -> bool:
         return held.needs.fits(self.shelf.free - self.shelf.parked_needs)
@@ -272,7 +285,7 @@
             self._settle(held, _UNSTARTED[verdict])
 
     def _order_again(self, held: HeldRun, verdict: StartVerdict) -> None:
-        if held.stop_reason or not self._may_grant_leases():
+        if held.stop_reason or self.evacuated or not self._may_grant_leases():
             self._settle(held, RunEnd.NOT_STARTED)
             return
         if verdict is StartVerdict.FENCED and held.token >= self._endpoint.token:
@@ -372,12 +385,18 @@
             self._settled.popitem(last=False)
         self._tell_outcome(held, end, checkpoint)
 
-    def _tell_outcome(self, held: HeldRun, end: RunEnd, checkpoint: str = "") -> None:
+    def _tell_outcome(
+        self, held: HeldRun, end: RunEnd, checkpoint: str = "", reason: str = ""
+    ) -> None:
         elapsed = self._now - held.ordered_at
         waited = held.ordered_at - held.arrived_at
         order = held.order
         self._counts.add("runs_ended", end)
-        self._note("run_ended", order.task, run=order.run, end=end, s=round(elapsed, 4))
+        fields: dict[str, object] = {"run": order.run, "end": end}
+        fields["s"] = round(elapsed, 4)
+        if reason:
+            fields["reason"] = reason
+        self._note("run_ended", order.task, **fields)
         outcome = RunOutcome(order.task, order.run, end, elapsed, waited, checkpoint)
         link = self._links.find(held.owner)
         if link is None:
--- a/src/godwitbank/_internal/models/jobs.py
+++ b/src/godwitbank/_internal/models/jobs.py
@@ -76,6 +76,16 @@
     max_body: int
 
 
+class Evacuation(NamedTuple):
+    """The availability zones whose endpoints are to get no new runs.
+
+    :param revision: the store's revision as of which exactly these were evacuated.
+    """
+
+    zones: frozenset[str]
+    revision: int
+
+
 class JobEnd(StrEnum):
     """How a job ended for its caller."""
 
@@ -129,6 +139,7 @@
     :param clock: its own steady clock, in milliseconds.
     :param sequence: rises with each report, so that a late one is noticed.
     :param address: ``host:port`` of its calls.
+    :param cold_left: seconds for which runs still take longer after its start.
     """
 
     instance: str
@@ -139,6 +150,7 @@
     clock: int
     sequence: int
     address: str
+    cold_left: float = 0.0
 
 
 class ListedRun(NamedTuple):
--- a/src/godwitbank/_internal/models/messages.py
+++ b/src/godwitbank/_internal/models/messages.py
@@ -13,6 +13,7 @@
     Claim,
     Claimed,
     EndpointNews,
+    Evacuated,
     Forward,
     Forwarded,
     Holding,
@@ -33,7 +34,7 @@
 )
 from godwitbank._internal.models.tasks import TaskKey
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 
 
 class Refusal(StrEnum):
@@ -327,6 +328,7 @@
     | Forward
     | Forwarded
     | Withdraw
+    | Evacuated
 )
 
 REGISTRY: tuple[type[Message], ...] = (
@@ -371,4 +373,5 @@
     Forwarded,
     Withdraw,
     Alive,
+    Evacuated,
 )
--- a/src/godwitbank/_internal/models/run_messages.py
+++ b/src/godwitbank/_internal/models/run_messages.py
@@ -86,6 +86,7 @@
 
     :param open: whether it takes new runs.
     :param settled: whether everything a former agent had started is gone.
+    :param cold: whether runs take longer there for a while after its start.
     """
 
     instance: str
@@ -96,6 +97,7 @@
     labels: list[str]
     open: bool
     settled: bool
+    cold: bool
 
 
 class Room(NamedTuple):
@@ -148,6 +150,17 @@
     max_body: int
 
 
+class Evacuated(NamedTuple):
+    """The availability zones whose endpoints get no new runs, all of them.
+
+    :param revision: the store's revision as of which this held; newer knowledge is
+        never undone by older.
+    """
+
+    zones: list[str]
+    revision: int
+
+
 class Took(NamedTuple):
     """Jobs an entry has taken from their callers.
 
--- a/standins/leased_endpoint.py
+++ b/standins/leased_endpoint.py
@@ -25,6 +25,9 @@
 
 STOP_GRACE = 0.05
 
+COLD_FACTOR = 3.0
+"""How many times as long a run takes on an endpoint that is cold."""
+
 
 class Behaviour(NamedTuple):
     """How tasks run here.
@@ -83,6 +86,7 @@
         self.lease_until = 0
         self.clock_rate = 0.98
         self.draining = False
+        self.cold_until = 0.0
         self.started: list[tuple[float, str, int]] = []
         self.lives: list[Life] = []
         self._clock_base = clock_base
@@ -105,6 +109,7 @@
             self.clock(now),
             self._sequence,
             "endpoint:1",
+            max(0.0, self.cold_until - now),
         )
 
     def advance(self, now: float) -> None:
@@ -158,7 +163,9 @@
             return answer(StartVerdict.SUPERSEDED)
         self._extend(order.lease_until, now)
         self.highest[order.task] = order.run
-        seconds = 0.02 if self.behaviour.fails else seconds * self.behaviour.speed
+        slow = COLD_FACTOR if now < self.cold_until else 1.0
+        seconds *= self.behaviour.speed * slow
+        seconds = 0.02 if self.behaviour.fails else seconds
         self.alive[order.task] = Alive(order.task, order.run, now, seconds)
         self.started.append((now, order.task, order.run))
         return answer(StartVerdict.STARTED)
--- a/tests/core/runs/test_bulletins.py
+++ b/tests/core/runs/test_bulletins.py
@@ -6,7 +6,7 @@
 from godwitbank._internal.models.run_messages import EndpointNews, Room
 
 NOW = 100.0
-NEWS = EndpointNews("i-1", "desk", 16000, 65536, 0, [], True, True)
+NEWS = EndpointNews("i-1", "desk", 16000, 65536, 0, [], True, True, False)
 ENTRIES = 10
 
 
--- a/tests/lib/runs_world.py
+++ b/tests/lib/runs_world.py
@@ -9,6 +9,7 @@
 import itertools
 from collections import defaultdict
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -34,6 +35,7 @@
     CallerGone,
     ConfigurationRead,
     Departed,
+    EvacuationRead,
     HoldFailed,
     JobSubmitted,
     KeepReport,
@@ -50,6 +52,7 @@
 from godwitbank._internal.models.jobs import (
     Configuration,
     EndpointReport,
+    Evacuation,
     JobResult,
     JobSpec,
     QueueRules,
@@ -62,6 +65,11 @@
 CALL_DELAY = 0.002
 REPORT_PERIOD = 1.5
 LOCAL_RESTART = 0.6
+STORE_DELAY = 0.005
+ZONE = "zone-1"
+
+EVACUATION_BOUND = 5.0
+"""Seconds after an evacuation from which nothing may start there (users' bound)."""
 
 QUEUE = QueueRules("checks", "desk", "/checks/", "desk", 1, 3, 1.6, 0.06)
 CAPACITY = Resources(16000, 65536, 0)
@@ -140,6 +148,13 @@
         self._delays: dict[tuple[str, str], float] = {}
         self.jobs: dict[int, str] = {}
         self.faults: list[str] = []
+        self.zones: dict[str, str] = {}
+        self.evacuated: dict[str, float] = {}
+        """Zones that are evacuated, and since when."""
+        self.store_away: set[str] = set()
+        """Processes that can't reach the store."""
+        self._revision = 1
+        self._starts_seen: dict[str, int] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._streams = itertools.count(1)
@@ -149,10 +164,14 @@
     # Building
 
     def add_entry(
-        self, name: str, make: Callable[["RunsWorld", str, Any], Process] = Process
+        self,
+        name: str,
+        make: Callable[["RunsWorld", str, Any], Process] = Process,
+        zone: str = ZONE,
     ) -> Process:
         """Start an entry, by default as a process that always keeps up."""
-        identity = Identity(name, f"{name}#{next(self._sequence)}", name, "zone-1")
+        zone = self.zones.setdefault(name, zone)
+        identity = Identity(name, f"{name}#{next(self._sequence)}", name, zone)
         rng = Random(self.rng.random())
         core = RunEntryCore(
             identity,
@@ -162,14 +181,19 @@
             entries_per_agent=self.entries_per_agent,
         )
         process = self.processes[name] = make(self, name, core)
-        process.give(ConfigurationRead(self.configuration))
+        if name not in self.store_away:
+            process.give(EvacuationRead(self._read_evacuation()))
+            process.give(ConfigurationRead(self.configuration))
         others = [each.name for each in self._list(RunEntryCore)]
         process.give(AddressesRead(tuple(others)))
         return process
 
-    def add_agent(self, name: str, capacity: Resources = CAPACITY) -> Process:
+    def add_agent(
+        self, name: str, capacity: Resources = CAPACITY, zone: str = ZONE
+    ) -> Process:
         """Start an agent, and its endpoint if there is none."""
-        identity = Identity(name, f"{name}#{next(self._sequence)}", name, "zone-1")
+        zone = self.zones.setdefault(name, zone)
+        identity = Identity(name, f"{name}#{next(self._sequence)}", name, zone)
         process = Process(
             self, name, RunAgentCore(identity, self.now, entries=self.entries_per_agent)
         )
@@ -245,10 +269,37 @@
 
         self.after(delay, wake)
 
+    # The operators' store
+
+    def evacuate(self, zone: str) -> None:
+        """Ask that nothing new be started in a zone."""
+        self.evacuated.setdefault(zone, self.now)
+        self.tell_evacuation()
+
+    def take_back(self, zone: str) -> None:
+        """End a zone's evacuation."""
+        self.evacuated.pop(zone, None)
+        self.tell_evacuation()
+
+    def _read_evacuation(self) -> Evacuation:
+        return Evacuation(frozenset(self.evacuated), self._revision)
+
+    def tell_evacuation(self) -> None:
+        """Let the entries that reach the store read what is evacuated."""
+        self._revision += 1
+        read = EvacuationRead(self._read_evacuation())
+        for process in self._list(RunEntryCore):
+            if process.name not in self.store_away:
+                self.after(STORE_DELAY, partial(process.give, read))
+
     # What must never happen
 
     def check(self) -> None:
-        """Look for a task that runs twice and for endpoints that are overfull."""
+        """Look for a task that runs twice, an endpoint that is overfull, a late start.
+
+        A start is late in a zone that has been evacuated for longer than the bound.
+        """
+        self._check_starts()
         seen: dict[str, str] = {}
         for name, endpoint in self.endpoints.items():
             if endpoint is None:
@@ -265,6 +316,18 @@
                 self.faults.append(f"{self.now:.3f}: {name} is over its capacity")
         assert not self.faults, self.faults[0]
 
+    def _check_starts(self) -> None:
+        for name, endpoint in self.endpoints.items():
+            since = self.evacuated.get(self.zones.get(name, ZONE))
+            if endpoint is None:
+                continue
+            seen = self._starts_seen.get(endpoint.instance, 0)
+            self._starts_seen[endpoint.instance] = len(endpoint.started)
+            for at, task, _ in endpoint.started[seen:]:
+                if since is not None and at > since + EVACUATION_BOUND:
+                    fault = f"{at:.3f}: {task} began at {name}, evacuated at {since}"
+                    self.faults.append(fault)
+
     def _find_cpu(self, task: str) -> int:
         return self.specs[task.partition(".")[0]].steps[0].needs.cpu
 
