Read evacuated zones from the store

The adapter reads the operators' rows whole and follows their changes as before; a row asks for its zone whatever it holds, also if its value can't be decoded. A whole read goes on over pages where there are more rows than fit one answer. Rows of the same key in other parts of the table are other writers' and count for nothing. Reports of endpoints carry for how long runs still take longer after their start. What is evacuated is delivered before the configuration that lets jobs in.

--- a/src/godwitbank/_internal/operations/run_entry.py
+++ b/src/godwitbank/_internal/operations/run_entry.py
@@ -15,6 +15,7 @@
     Answer,
     CallerGone,
     ConfigurationRead,
+    EvacuationRead,
     JobCancelled,
     JobSubmitted,
     Lagged,
@@ -22,7 +23,13 @@
     Quiet,
     RunAction,
 )
-from godwitbank._internal.models.jobs import Configuration, JobEnd, JobResult, JobSpec
+from godwitbank._internal.models.jobs import (
+    Configuration,
+    Evacuation,
+    JobEnd,
+    JobResult,
+    JobSpec,
+)
 from godwitbank._internal.models.messages import Message, Role
 from godwitbank._internal.network.streams import StreamEvents, StreamTable
 from godwitbank._internal.operations.clocks import read_boot_time
@@ -100,6 +107,10 @@
         """Take a configuration read from the store."""
         self._inbox.put(ConfigurationRead(configuration))
 
+    def evacuate(self, evacuation: Evacuation) -> None:
+        """Take what was read from the store of evacuated zones."""
+        self._inbox.put(EvacuationRead(evacuation))
+
     def learn_entries(self, addresses: tuple[str, ...]) -> None:
         """Take stream addresses of entries."""
         self._inbox.put(AddressesRead(addresses))
--- a/src/godwitbank/_internal/platform/bodies.py
+++ b/src/godwitbank/_internal/platform/bodies.py
@@ -104,6 +104,8 @@
     # The endpoint's kind and its rack.
     labels: list[str] = []
     clock_ms: int = 0
+    # How much longer runs take longer after the endpoint's start.
+    cold_left_ms: float = 0
 
 
 class _RunningRow(msgspec.Struct, array_like=True):
@@ -244,6 +246,7 @@
         wire.clock_ms,
         wire.seq,
         wire.address,
+        max(0.0, wire.cold_left_ms / 1000),
     )
 
 
--- a/src/godwitbank/_internal/platform/entry_program.py
+++ b/src/godwitbank/_internal/platform/entry_program.py
@@ -20,7 +20,7 @@
     watch_settings,
 )
 from godwitbank._internal.platform.settings import METRICS_PORT, PlatformSettings
-from godwitbank._internal.platform.store import StoreClient
+from godwitbank._internal.platform.store import Listeners, StoreClient
 
 
 def _make_monitoring_app(process: RunEntryProcess) -> Litestar:
@@ -62,7 +62,9 @@
     process.learn_entries(settings.seeds)
     store = StoreClient(settings.store, settings.name, log, counts)
     watchers = [
-        asyncio.create_task(store.watch_configuration(process.install)),
+        asyncio.create_task(
+            store.watch_operators(Listeners(process.evacuate, process.install))
+        ),
         asyncio.create_task(store.register_entry(settings.stream)),
         asyncio.create_task(find_entries(store, process)),
     ]
--- a/src/godwitbank/_internal/platform/rows.py
+++ b/src/godwitbank/_internal/platform/rows.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+from collections.abc import Iterable
 from typing import NamedTuple
 
 import msgspec
@@ -13,16 +14,21 @@
 
 MAX_PORT = 65535
 
+EVACUATION_PREFIX = "evacuate/"
+"""Start of the keys of rows that each ask for one zone to be emptied."""
+
 
 class _WireRow(msgspec.Struct):
     key: str
     value: str = ""
     removed: bool = False
+    part: str = ""
 
 
-class _WireRows(msgspec.Struct):
+class _WireRows(msgspec.Struct, rename="kebab"):
     rows: list[msgspec.Raw] = []
     ver: int = 0
+    has_more: bool = False
 
 
 _row_decoder = msgspec.json.Decoder(_WireRow)
@@ -31,10 +37,23 @@
 
 
 class Row(NamedTuple):
-    """One row that is there."""
+    """One row that is there.
+
+    :param part: the part of the table that it stands in; empty where the platform's
+        own rows stand.
+    """
 
     key: str
     value: bytes
+    part: str = ""
+
+
+class Change(NamedTuple):
+    """A row that is there or was removed, whether its value can be decoded or not."""
+
+    key: str
+    part: str
+    removed: bool
 
 
 class ReadRows(NamedTuple):
@@ -42,11 +61,15 @@
 
     :param version: the store's newest version at that moment.
     :param unreadable: rows that could not be decoded.
+    :param changes: all rows whose key could be decoded, in the store's order.
+    :param has_more: whether there are rows behind these.
     """
 
     version: int
     rows: tuple[Row, ...]
     unreadable: int
+    changes: tuple[Change, ...] = ()
+    has_more: bool = False
 
 
 def decode_rows(body: bytes) -> ReadRows:
@@ -56,15 +79,37 @@
     """
     wire = _rows_decoder.decode(body)
     rows = []
+    changes = []
     unreadable = 0
     for raw in wire.rows:
         try:
             row = _row_decoder.decode(raw)
+            changes.append(Change(row.key, row.part, row.removed))
             if not row.removed:
-                rows.append(Row(row.key, base64.b64decode(row.value, validate=True)))
+                value = base64.b64decode(row.value, validate=True)
+                rows.append(Row(row.key, value, row.part))
         except (msgspec.DecodeError, ValueError):
             unreadable += 1
-    return ReadRows(wire.ver, tuple(rows), unreadable)
+    return ReadRows(wire.ver, tuple(rows), unreadable, tuple(changes), wire.has_more)
+
+
+def find_evacuated(changes: Iterable[Change], before: Iterable[str]) -> frozenset[str]:
+    """Find the zones that are evacuated after some changes.
+
+    The row alone asks for it, whatever it holds.
+
+    :param before: the zones that were evacuated before these changes.
+    """
+    zones = set(before)
+    for change in changes:
+        zone = change.key.removeprefix(EVACUATION_PREFIX)
+        if change.part or zone == change.key:
+            continue
+        if change.removed:
+            zones.discard(zone)
+        else:
+            zones.add(zone)
+    return frozenset(zones)
 
 
 def decode_address(value: bytes) -> str | None:
--- a/src/godwitbank/_internal/platform/store.py
+++ b/src/godwitbank/_internal/platform/store.py
@@ -3,11 +3,16 @@
 import asyncio
 import base64
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
 from godwitbank._internal.core.counters import Counts
-from godwitbank._internal.models.jobs import Configuration, EndpointReport
+from godwitbank._internal.models.jobs import (
+    Configuration,
+    EndpointReport,
+    Evacuation,
+)
 from godwitbank._internal.operations.decisions import DecisionLog
 from godwitbank._internal.platform.bodies import decode_configuration
 from godwitbank._internal.platform.client import FAILURES, make_session, make_timeout
@@ -17,6 +22,7 @@
     decode_address,
     decode_kept_report,
     decode_rows,
+    find_evacuated,
 )
 
 WATCH_SECONDS = 20.0
@@ -43,6 +49,25 @@
 """Our table of the entries' stream addresses, one row a VM."""
 
 
+OPERATORS_TABLE = "op"
+"""Table of what the operators want; only they write there."""
+
+
+FIRST_AFTER = "\0"
+"""Added to a key it gives the one that follows next."""
+
+
+class Listeners(NamedTuple):
+    """Who takes what the operators want.
+
+    :param evacuate: takes the zones that are evacuated, all of them.
+    :param configure: takes each configuration.
+    """
+
+    evacuate: Callable[[Evacuation], None]
+    configure: Callable[[Configuration], None]
+
+
 class StoreClient:
     """Reads, watches and registers at the store."""
 
@@ -56,52 +81,61 @@
         self._lost = False
         self._session = make_session(address, MAX_CONNECTIONS)
 
-    async def watch_configuration(
-        self, deliver: Callable[[Configuration], None]
-    ) -> None:
-        """Deliver each configuration, for ever.
+    async def watch_operators(self, listeners: Listeners) -> None:
+        """Deliver what the operators want, for ever.
 
         A lost history or a failed call leads to a whole read.
         """
-        seen = 0
+        held: Evacuation | None = None
         while True:
             try:
-                if not seen:
-                    seen = await self._read_configuration(deliver)
-                seen = await self._await_change(seen, deliver)
+                if held is None:
+                    held = await self._read_all(listeners)
+                held = await self._await_change(held, listeners)
             except (*FAILURES, msgspec.DecodeError) as error:
-                seen = 0
+                held = None
                 await self._pause(error)
 
-    async def _read_configuration(
-        self, deliver: Callable[[Configuration], None]
-    ) -> int:
-        rows = await self._get("/-/rows-get", {"table": "op", "part": ""}, CALL_SECONDS)
-        self._deliver(rows, deliver)
-        return rows.version
-
-    async def _await_change(
-        self, seen: int, deliver: Callable[[Configuration], None]
-    ) -> int:
-        wait = int(WATCH_SECONDS * 1000)
-        query = {"table": "op", "after": str(seen), "wait-ms": str(wait)}
-        rows = await self._get("/-/rows-feed", query, WATCH_SECONDS + CALL_SECONDS)
-        self._deliver(rows, deliver)
-        return rows.version
+    async def _read_all(self, listeners: Listeners) -> Evacuation:
+        query = {"table": OPERATORS_TABLE, "part": ""}
+        read = page = await self._get("/-/rows-get", query, CALL_SECONDS)
+        while page.has_more and page.changes:
+            # Of several pages the first is the oldest; what has changed since is
+            # told again as a change.
+            after = {**query, "from": page.changes[-1].key + FIRST_AFTER}
+            page = await self._get("/-/rows-get", after, CALL_SECONDS)
+            read = read._replace(
+                rows=read.rows + page.rows, changes=read.changes + page.changes
+            )
+        return self._deliver(read, frozenset(), listeners)
+
+    async def _await_change(self, held: Evacuation, listeners: Listeners) -> Evacuation:
+        wait = str(int(WATCH_SECONDS * 1000))
+        after = str(held.revision)
+        query = {"table": OPERATORS_TABLE, "after": after, "wait-ms": wait}
+        read = await self._get("/-/rows-feed", query, WATCH_SECONDS + CALL_SECONDS)
+        return self._deliver(read, held.zones, listeners)
 
     def _deliver(
-        self, read: ReadRows, deliver: Callable[[Configuration], None]
-    ) -> None:
+        self, read: ReadRows, evacuated: frozenset[str], listeners: Listeners
+    ) -> Evacuation:
+        """Deliver what was read, what is evacuated before what lets jobs in."""
+        zones = find_evacuated(read.changes, evacuated)
+        evacuation = Evacuation(zones, read.version)
+        listeners.evacuate(evacuation)
         for row in read.rows:
-            if row.key != "config":
-                continue
-            try:
-                configuration = decode_configuration(row.value)
-            except msgspec.DecodeError as error:
-                # The one in force holds on until one comes that can be read.
-                self._pass_over("op", row.key, str(error))
-                continue
-            deliver(configuration)
+            if row.key == "config" and not row.part:
+                self._deliver_configuration(row, listeners)
+        return evacuation
+
+    def _deliver_configuration(self, row: Row, listeners: Listeners) -> None:
+        try:
+            configuration = decode_configuration(row.value)
+        except msgspec.DecodeError as error:
+            # The one in force holds on until one comes that can be read.
+            self._pass_over(OPERATORS_TABLE, row.key, str(error))
+            return
+        listeners.configure(configuration)
 
     def _pass_over(self, table: str, key: str, reason: str) -> None:
         """Count a row that can't be used, and log it once."""
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -1,7 +1,7 @@
 """A stand-in for the platform's endpoint daemon, over HTTP.
 
-Usage: ``python -m standins.platform_endpoint SERVICE ADDRESS AGENT CORES``. A task's
-run time in seconds is its job's payload. ``PUT /control`` sets ``Behaviour``,
+Usage: ``python -m standins.platform_endpoint SERVICE ADDRESS AGENT CORES ZONE``.
+A task's run time in seconds is its job's payload. ``PUT /control`` sets ``Behaviour``,
 ``draining``, how many answers to starts are lost, and how many seconds later those
 are carried out (0: never). Each start and each end is a JSON line on standard
 output, with times of the machine's monotonic clock.
@@ -42,8 +42,11 @@
 class Daemon:
     """One boot of the endpoint and the knobs of failure."""
 
-    def __init__(self, service: str, address: str, agent: str, cores: int) -> None:
+    def __init__(
+        self, service: str, address: str, agent: str, cores: int, zone: str
+    ) -> None:
         self.address = address
+        self.zone = zone
         self.agent = agent
         instance = f"i-{int(time.time() * 1e6):x}"
         capacity = Resources(cores * 1000, 65536, 0)
@@ -111,11 +114,11 @@
         return {
             "service": report.service,
             "address": self.address,
-            "zone": "zone-1",
+            "zone": self.zone,
             "version": "v1",
             "slots": 8,
             "state": "draining" if report.draining else "ready",
-            "cold-left-ms": 0,
+            "cold-left-ms": int(report.cold_left * 1000),
             "capacity": {"cpu": room.cpu, "mem-mb": room.memory, "gpu": room.gpu},
             "labels": list(report.labels),
             "clock-ms": report.clock,
@@ -219,6 +222,7 @@
     async def control(request: Request) -> dict[str, Any]:
         body = await request.json()
         fake.draining = body.pop("draining", fake.draining)
+        fake.cold_until = daemon.now + body.pop("cold_seconds", 0.0)
         daemon.lose_starts = body.pop("lose_starts", daemon.lose_starts)
         daemon.carry_out_after = body.pop("carry_out_after", daemon.carry_out_after)
         fake.behaviour = Behaviour(**body)
@@ -246,8 +250,8 @@
 
 async def main() -> None:
     """Serve until killed."""
-    service, address, agent, cores = sys.argv[1:5]
-    daemon = Daemon(service, address, agent, int(cores))
+    service, address, agent, cores, zone = sys.argv[1:6]
+    daemon = Daemon(service, address, agent, int(cores), zone)
     host, _, port = address.rpartition(":")
     config = uvicorn.Config(
         make_app(daemon), host=host, port=int(port), log_level="warning"
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -14,11 +14,13 @@
 
 import httpx
 
+from godwitbank._internal.platform.settings import METRICS_PORT
 from standins.fleet import pick_port, wait_for
 
 ROOT = Path(__file__).parent.parent
 SERVICE = "desk"
 CORES = 4
+ZONE = "zone-1"
 
 KNOB_SECONDS = 2.0
 """Longest wait for an endpoint to obey; a paused one never does."""
@@ -50,6 +52,8 @@
         )
         self.store = f"127.9.{os.getpid() % 250}.1:{pick_port()}"
         self._addresses: dict[str, str] = {}
+        self.zones: dict[str, str] = {}
+        """Availability zones of processes; ``ZONE`` where none is given."""
         self._run("store", ["-m", "standins.platform_store", self.store])
         wait_for(lambda: self.write_routes(1, [ROUTE]), "store")
 
@@ -76,6 +80,10 @@
         """Find the address that other processes know a process by."""
         return self.find_ip(name)
 
+    def find_zone(self, name: str) -> str:
+        """Find the availability zone of a process's VM."""
+        return self.zones.get(name, ZONE)
+
     def find_store(self, name: str) -> str:
         """Find where a process reaches the store."""
         del name
@@ -93,7 +101,7 @@
             f"node={name}",
             f"class={kind}",
             f"ip={seen}",
-            "zone=zone-1",
+            f"zone={self.find_zone(name)}",
             f"port-range={self.inner},{self.inner + 10}",
             f"seeds={','.join(seeds[:3])}",
             f"platform.address={self.find_store(name)}",
@@ -124,7 +132,7 @@
         ip = self.find_ip(name)
         words = ["-m", "standins.platform_endpoint", SERVICE]
         agent = f"{self.find_advertised(name)}:{self.control}"
-        words += [f"{ip}:{self.app}", agent, str(CORES)]
+        words += [f"{ip}:{self.app}", agent, str(CORES), self.find_zone(name)]
         self._run(f"{name}-endpoint", words)
 
     def start(self, entries: int, agents: int) -> None:
@@ -182,6 +190,16 @@
         url = f"http://{self.store}/operator?key=config"
         return self.client.put(url, content=json.dumps(body)).status_code == 200
 
+    def evacuate(self, zone: str) -> None:
+        """Ask that a zone be emptied, as the operators do."""
+        url = f"http://{self.store}/operator?key=evacuate/{zone}"
+        self.client.put(url, content="{}")
+
+    def take_back(self, zone: str) -> None:
+        """End a zone's evacuation."""
+        url = f"http://{self.store}/operator?key=evacuate/{zone}"
+        self.client.delete(url)
+
     def set_store(self, **knobs: Any) -> None:
         """Turn the store's knobs."""
         self.client.put(f"http://{self.store}/control", content=json.dumps(knobs))
@@ -191,6 +209,12 @@
         url = f"http://{self.find_ip(name)}:{self.app}/control"
         self.client.put(url, content=json.dumps(knobs), timeout=KNOB_SECONDS)
 
+    def see_status(self, name: str) -> dict[str, Any]:
+        """Read a process's own status page."""
+        url = f"http://{self.find_ip(name)}:{METRICS_PORT}/status"
+        status: dict[str, Any] = self.client.get(url).json()
+        return status
+
     def see_endpoint(self, name: str) -> dict[str, Any]:
         """Tell what an endpoint has started and runs."""
         url = f"http://{self.find_ip(name)}:{self.app}/control"
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,7 +3,7 @@
 Usage: ``python -m standins.platform_store ADDRESS``. ``PUT /control`` takes it
 down (for callers from some addresses, or all), makes it silent, or makes it lose
 the answers of writes that took effect. ``PUT /operator`` writes what only the
-operators may write.
+operators may write, and ``DELETE /operator`` removes it.
 """
 
 import asyncio
@@ -13,7 +13,10 @@
 
 import msgspec
 import uvicorn
-from litestar import Litestar, Request, Response, get, post, put
+from litestar import Litestar, Request, Response, delete, get, post, put
+
+MAX_PAGE = 500
+"""Rows of one answer at the most."""
 
 OPERATORS_TABLES = {"op", "servers"}
 
@@ -125,7 +128,9 @@
         table = request.query_params["table"]
         first = request.query_params.get("from", "")
         rows = [row for row in store.list_rows(table, None) if row["key"] >= first]
-        return Response(store.answer(rows))
+        limit = int(request.query_params.get("page-limit", MAX_PAGE))
+        body = store.answer(rows[:limit])
+        return Response({**body, "has-more": len(rows) > limit})
 
     @get("/-/rows-feed")
     async def follow(request: Request) -> Response[Any]:
@@ -151,6 +156,12 @@
         store.commit({"puts": [row]})
         return {"ver": store.revision}
 
+    @delete("/operator", status_code=200)
+    async def remove(request: Request) -> dict[str, int]:
+        row = {"table": "op", "key": request.query_params["key"]}
+        store.commit({"remove": [row]})
+        return {"ver": store.revision}
+
     @put("/control", status_code=200)
     async def control(request: Request) -> dict[str, Any]:
         for name, value in msgspec.json.decode(await request.body()).items():
@@ -160,7 +171,7 @@
         return {}
 
     return Litestar(
-        route_handlers=[transact, read, follow, operate, control],
+        route_handlers=[transact, read, follow, operate, remove, control],
         openapi_config=None,
         logging_config=None,
     )
