Explore evacuated zones under random faults

The world notices any start in a zone that has been evacuated for longer than the bound; shown by breaking five rules on purpose (tests/broken_rules.py), all noticed.

--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -456,6 +456,46 @@
         f"{RUNS}/test_forwarding.py::"
         "test_callers_are_answered_when_the_entry_that_serves_them_is_lost",
     ),
+    Break(
+        "evacuated zones are known and used",
+        f"{LEASED}/evacuations.py",
+        "return zone in self._newest.zones",
+        "return False",
+        f"{RUNS}/test_evacuation.py::"
+        "test_an_agent_refuses_orders_of_an_entry_that_knows_less",
+    ),
+    Break(
+        "an older evacuation undoes a newer",
+        f"{LEASED}/evacuations.py",
+        "if told.revision <= self._newest.revision:",
+        "if False:",
+        f"{RUNS}/test_evacuation.py::test_older_knowledge_never_undoes_newer",
+    ),
+    Break(
+        "entries place in evacuated zones, and agents take it",
+        f"{LEASED}/runner.py",
+        "        self.evacuated = evacuated\n",
+        "",
+        f"{RUNS}/test_evacuation.py::"
+        "test_an_agent_refuses_orders_of_an_entry_that_knows_less",
+    ),
+    Break(
+        "nobody hears of evacuated zones",
+        f"{LEASED}/evacuations.py",
+        "        self._newest = told\n",
+        "",
+        f"{RUNS}/test_evacuation_exploration.py::"
+        "test_nothing_starts_late_in_an_evacuated_zone_under_random_faults",
+    ),
+    Break(
+        "new streams are not told what is evacuated",
+        f"{LEASED}/entry.py",
+        "        # Before the rules, which make the other end ready to place runs.\n"
+        "        self._send_evacuation(event.stream)\n",
+        "",
+        f"{RUNS}/test_evacuation.py::"
+        "test_entries_and_agents_that_start_meanwhile_know_before_the_first_order",
+    ),
 )
 
 
--- a/tests/core/runs/test_exploration.py
+++ b/tests/core/runs/test_exploration.py
@@ -127,6 +127,7 @@
         seed: int,
         impatient: bool = False,
         size: Size = SMALL,
+        zones: int = 1,
     ) -> None:
         self.impatient = impatient
         self.rng = Random(seed)
@@ -135,6 +136,8 @@
         self.world = RunsWorld(seed, entries_per_agent=size.entries_per_agent)
         self.submitted = 0
         self.asked: list[Asked] = []
+        for position, name in enumerate((*self.entries, *self.agents)):
+            self.world.zones[name] = f"zone-{1 + position % zones}"
         for name in self.entries:
             self.world.add_entry(name)
         for name in self.agents:
