Tell entries at once that there is room, or none any more

An agent told its entries of room every 0.03 s times their number (0.24 s for eight): entries ordered into room that was gone, and let runs wait beside room that they had not heard of.

Change: an entry is told at once when what it may do changes: room for a run of the usual size where it knew none (two entries at a time, told longest ago first, or all would order into it), or none where it knew some. The usual size is what the agent sees.

--- a/bench/lab/play.py
+++ b/bench/lab/play.py
@@ -11,6 +11,7 @@
 
 from bench.lab.bound import SLOT, Piece, bound_worth
 from bench.lab.scenario import Demand, Fault, Scenario
+from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.runs.policy import Policy
 from godwitbank._internal.models.jobs import (
     Configuration,
@@ -46,6 +47,7 @@
     :param idle_refused: share of the worth that was refused while a quarter of the
         room stood idle.
     :param wasted: share of the core-seconds spent on what brought no result.
+    :param returned: share of the orders that found their room taken.
     """
 
     worth: float
@@ -55,6 +57,7 @@
     refused: float
     idle_refused: float
     wasted: float
+    returned: float
 
 
 class Sent(NamedTuple):
@@ -87,6 +90,7 @@
         self._sent: dict[str, Sent] = {}
         self._at: dict[str, tuple[str, int]] = {}
         self._room: list[float] = []
+        self._agent_counts: list[Counts] = []
         self._numbers = itertools.count(1)
         self._begin = 0.0
 
@@ -114,7 +118,7 @@
         for number, name in enumerate(self._agents):
             size = scenario.sizes[number % len(scenario.sizes)]
             self._sizes[name] = Resources(int(size), 10**6, 0)
-            self.world.add_agent(name, self._sizes[name])
+            self._start_agent(name)
             self._behave(name, Behaviour(speed=self._speed(name)))
         self.world.run(BOOT_SECONDS)
         self._begin = self.world.now
@@ -299,7 +303,8 @@
             self.world.after(fault.seconds, partial(self._start_agent, name))
 
     def _start_agent(self, name: str) -> None:
-        self.world.add_agent(name, self._sizes[name])
+        process = self.world.add_agent(name, self._sizes[name])
+        self._agent_counts.append(process.core.counts)
 
     def _darken_all(self, fault: Fault) -> None:
         for name in [*self._entries, *self._agents]:
@@ -368,6 +373,7 @@
             refused / len(self._sent),
             idle_refused / total,
             self._measure_waste(),
+            self._measure_returned(),
         )
 
     def _judge(self, name: str, sent: Sent) -> float:
@@ -381,6 +387,12 @@
             return 1.0
         return LATE_SHARE if took <= LATE_FACTOR * sent.objective else 0.0
 
+    def _measure_returned(self) -> float:
+        counts = self._agent_counts
+        returned = sum(each.get("orders_refused", "room") for each in counts)
+        ordered = sum(each.get("starts_ordered") for each in counts)
+        return returned / max(returned + ordered, 1)
+
     def _measure_waste(self) -> float:
         wasted = total = 0.0
         for endpoint in self.world.endpoints.values():
--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -409,9 +409,8 @@
             return
         self._told = told
         self._linked_anew = False
-        links = list(self.links)
-        self._bulletins.begin(len(links), self._now)
-        for link in links:
+        usual_cpu = self.shelf.usual_cpu
+        for link in self._bulletins.begin(self.links, usual_cpu, self._now):
             room = Room(*free, self.shelf.parked, link.received)
             own_news = news._replace(open=False) if link.leaving else news
             at_once = link.stream in concerned
--- a/src/godwitbank/_internal/core/runs/bulletins.py
+++ b/src/godwitbank/_internal/core/runs/bulletins.py
@@ -3,10 +3,14 @@
 Every start and every end changes the room. Told to each of ten entries at once it was
 most of what agents and entries did: with 61 agents, 65 of 88 messages an entry took
 for a job. An entry is told with the end of each of its runs, as it may have work
-waiting for just that room; what it sends itself it counts in. Others are told later.
+waiting for just that room; what it sends itself it counts in. Others are told later,
+but for what changes what they do: that there is room for a run of the usual size, or
+none any more. Told late of that, entries order into room that is taken, and let runs
+wait while there is some.
 """
 
 import math
+from collections.abc import Iterable
 
 from godwitbank._internal.core.runs.links import Link
 from godwitbank._internal.models.messages import Message
@@ -20,15 +24,20 @@
 """Entries that are told at once: so few messages cost no more than the wake-up that
 would send them later."""
 
+FIRST_TOLD = 2
+"""Entries that are told at once of room where there was none. More would all order into
+it; the next are told with the next change, whoever was told longest ago first."""
+
 
 class Told:
     """What one entry was told last."""
 
-    __slots__ = ("news", "room")
+    __slots__ = ("news", "room", "at")
 
     def __init__(self) -> None:
         self.news: EndpointNews | None = None
         self.room: Room | None = None
+        self.at = -math.inf
 
 
 class Bulletins:
@@ -38,6 +47,9 @@
         self._told: dict[int, Told] = {}
         self._all_told_at = -math.inf
         self._all = False
+        self._usual_cpu = 0.0
+        self._first_left = 0
+        self._now = 0.0
         self._due_at = math.inf
         self._next_at = math.inf
 
@@ -45,14 +57,19 @@
         """Forget a stream that has ended."""
         self._told.pop(stream, None)
 
-    def begin(self, entries: int, now: float) -> None:
-        """Prepare for telling entries.
+    def begin(self, links: Iterable[Link], usual_cpu: float, now: float) -> list[Link]:
+        """Prepare for telling entries, and order them: told longest ago first.
 
         All that wait are told in one go: a timer each would wake the process as often
         as telling them at once.
 
-        :param entries: how many there are.
+        :param usual_cpu: thousandths of a core of a usual run; 0 while unknown.
         """
+        ordered = sorted(links, key=self._find_told_at)
+        entries = len(ordered)
+        self._usual_cpu = usual_cpu
+        self._first_left = FIRST_TOLD
+        self._now = now
         pause = PAUSE_SECONDS * entries if entries > FEW_ENTRIES else 0.0
         due_at = self._all_told_at + pause
         self._all = now >= due_at
@@ -61,6 +78,11 @@
             self._all_told_at = now
             due_at = now + pause
         self._next_at = due_at
+        return ordered
+
+    def _find_told_at(self, link: Link) -> float:
+        told = self._told.get(link.stream)
+        return -math.inf if told is None else told.at
 
     def list_due(
         self, link: Link, news: EndpointNews, room: Room, at_once: bool
@@ -76,13 +98,25 @@
             due.append(news)
         if told.room == room:
             return due
-        if not (at_once or self._all or told.room is None):
+        urgent = at_once or self._all or told.room is None
+        if not urgent and not self._is_news(told.room, room):
             self._due_at = self._next_at
             return due
         told.room = room
+        told.at = self._now
         due.append(room)
         return due
 
+    def _is_news(self, told: Room | None, room: Room) -> bool:
+        """Tell whether an entry would decide otherwise if it knew, and is to know."""
+        had_room = told is not None and told.cpu >= self._usual_cpu
+        has_room = room.cpu >= self._usual_cpu
+        if had_room == has_room:
+            return False
+        if has_room:
+            self._first_left -= 1
+        return had_room or self._first_left >= 0
+
     def next_wakeup(self) -> float:
         """Tell when entries that were not told yet are to be told."""
         return self._due_at
--- a/src/godwitbank/_internal/core/runs/held.py
+++ b/src/godwitbank/_internal/core/runs/held.py
@@ -72,6 +72,10 @@
 """
 
 
+USUAL_WEIGHT = 0.05
+"""Weight of the newest run in the size of a usual one; some twenty runs count."""
+
+
 def _count_down(counter: Counter[str], owner: str) -> None:
     counter[owner] -= 1
     if not counter[owner]:
@@ -86,6 +90,8 @@
         self.owners: Counter[str] = Counter()
         self.placed_owners: Counter[str] = Counter()
         self.capacity = Resources()
+        self.usual_cpu = 0.0
+        """Thousandths of a core of a usual run here; 0 while there was none."""
         self.used = Resources()
         self.parked_needs = Resources()
         self._waiting: list[tuple[float, int, HeldRun]] = []
@@ -110,6 +116,8 @@
         """Take the room for a parked run."""
         self._unpark(held)
         self.used += held.needs
+        before = self.usual_cpu or held.needs.cpu
+        self.usual_cpu = before + USUAL_WEIGHT * (held.needs.cpu - before)
         self.placed_owners[held.owner] += 1
         held.state = RunState.ORDERED
 
--- a/tests/core/runs/test_bulletins.py
+++ b/tests/core/runs/test_bulletins.py
@@ -1,6 +1,10 @@
 """How often entries are told of an endpoint's room."""
 
-from godwitbank._internal.core.runs.bulletins import PAUSE_SECONDS, Bulletins
+from godwitbank._internal.core.runs.bulletins import (
+    FIRST_TOLD,
+    PAUSE_SECONDS,
+    Bulletins,
+)
 from godwitbank._internal.core.runs.links import Link
 from godwitbank._internal.models.messages import Hello, Role
 from godwitbank._internal.models.run_messages import EndpointNews, Room
@@ -8,6 +12,7 @@
 NOW = 100.0
 NEWS = EndpointNews("i-1", "desk", 16000, 65536, 0, [], True, True, False)
 ENTRIES = 10
+USUAL_CPU = 1600.0
 
 
 def make_link(stream: int = 1) -> Link:
@@ -16,6 +21,11 @@
     return Link(stream, hello, "", NOW)
 
 
+def make_links(count: int) -> list[Link]:
+    """Make the streams of some entries."""
+    return [make_link(stream) for stream in range(1, count + 1)]
+
+
 def make_room(cpu: int, seen: int = 0) -> Room:
     """Make what an entry is told of room."""
     return Room(cpu, 65536, 0, 0, seen)
@@ -29,7 +39,7 @@
     at_once: bool = False,
 ) -> list:
     """List what the one entry is told at some moment."""
-    bulletins.begin(ENTRIES, now)
+    bulletins.begin(make_links(ENTRIES), USUAL_CPU, now)
     return bulletins.list_due(make_link(), news, room, at_once)
 
 
@@ -88,6 +98,42 @@
 def test_few_entries_are_told_at_once() -> None:
     bulletins = Bulletins()
     for cpu in (16000, 9000):
-        bulletins.begin(4, NOW)
+        bulletins.begin(make_links(4), USUAL_CPU, NOW)
         due = bulletins.list_due(make_link(), NEWS, make_room(cpu), False)
         assert due[-1].cpu == cpu
+
+
+def tell_all(bulletins: Bulletins, room: Room, now: float) -> list[int]:
+    """Tell all entries what is due; return the streams that were told of room."""
+    told = []
+    for link in bulletins.begin(make_links(ENTRIES), USUAL_CPU, now):
+        if room in bulletins.list_due(link, NEWS, room, False):
+            told.append(link.stream)
+    return told
+
+
+def test_all_are_told_at_once_that_there_is_no_room_left() -> None:
+    bulletins = Bulletins()
+    tell_all(bulletins, make_room(16000), NOW)
+    assert not tell_all(bulletins, make_room(3000), NOW + 0.001)
+    assert len(tell_all(bulletins, make_room(1500), NOW + 0.002)) == ENTRIES
+
+
+def test_few_at_a_time_are_told_at_once_that_there_is_room_again() -> None:
+    bulletins = Bulletins()
+    tell_all(bulletins, make_room(0), NOW)
+    heard: list[int] = []
+    for step in range(1, ENTRIES // FIRST_TOLD + 1):
+        told = tell_all(bulletins, make_room(1600), NOW + step / 1000)
+        assert len(told) == FIRST_TOLD
+        heard += told
+    assert sorted(heard) == list(range(1, ENTRIES + 1))
+
+
+def test_whoever_was_told_longest_ago_is_told_first_of_room() -> None:
+    bulletins = Bulletins()
+    tell_all(bulletins, make_room(0), NOW)
+    first = tell_all(bulletins, make_room(1600), NOW + 0.001)
+    tell_all(bulletins, make_room(0), NOW + 0.002)
+    second = tell_all(bulletins, make_room(1600), NOW + 0.003)
+    assert not set(first) & set(second)
