Take leases, report periods and ways to data from the settings

Change: the adapter reads hold-max, heartbeat and far-factor, checked; the cores get them as Deployment. Leases are never longer than 1 s, however long endpoints allow: what a lost process ordered must soon be over. An endpoint counts as gone after three reports that are missing and half a second.

With the usual figures nothing changes.

--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -22,6 +22,7 @@
 from godwitbank._internal.core.pressure import Pressure
 from godwitbank._internal.core.runs.addresses import ENTRIES_PER_AGENT
 from godwitbank._internal.core.runs.bulletins import Bulletins
+from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.core.runs.endpoint import Endpoint
 from godwitbank._internal.core.runs.evacuations import Evacuations
 from godwitbank._internal.core.runs.events import (
@@ -90,11 +91,12 @@
         now: float,
         counts: Counts | None = None,
         entries: int = ENTRIES_PER_AGENT,
+        deployment: Deployment = USUAL,
     ) -> None:
         self.identity = identity
         self.counts = Counts() if counts is None else counts
         self.links = Links(identity.address, identity.incarnation, now, entries)
-        self.endpoint = Endpoint(now)
+        self.endpoint = Endpoint(now, deployment)
         self.evacuations = Evacuations()
         self.runner = Runner(
             self.endpoint, self.links, self.counts, now, self._lose_endpoint
--- a/src/godwitbank/_internal/core/runs/endpoint.py
+++ b/src/godwitbank/_internal/core/runs/endpoint.py
@@ -2,8 +2,9 @@
 
 from typing import NamedTuple
 
+from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.core.runs.events import Renew, Start, Stop
-from godwitbank._internal.core.runs.lease import MAX_LEASE, EndpointClock
+from godwitbank._internal.core.runs.lease import EndpointClock
 from godwitbank._internal.models.jobs import EndpointReport
 from godwitbank._internal.models.resources import Resources
 from godwitbank._internal.models.run_messages import StartRun
@@ -34,10 +35,6 @@
 DEAF_RENEWALS = 2
 """Renewals without an answer after which an endpoint gets nothing new."""
 
-REPORT_SILENCE = 5.0
-"""Seconds without a report after which an endpoint counts as gone (three
-reports, 1.5 s apart, may be lost)."""
-
 
 class Unknown(NamedTuple):
     """A run that the endpoint has and this agent didn't start."""
@@ -59,13 +56,14 @@
 class Endpoint:
     """Identity, clock, lease and fencing token of one endpoint."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, deployment: Deployment = USUAL) -> None:
+        self._deployment = deployment
         self.instance = ""
         self.service = ""
         self.capacity = Resources()
         self.labels: tuple[str, ...] = ()
         self.draining = False
-        self.clock = EndpointClock()
+        self.clock = EndpointClock(deployment.lease)
         self.token = 0
         self.settled = False
         self.reporting = False
@@ -181,7 +179,7 @@
 
     def expire(self, now: float) -> bool:
         """Stop offering an endpoint that has not reported for long."""
-        if self.reporting and now - self._reported_at > REPORT_SILENCE:
+        if self.reporting and now - self._reported_at > self._deployment.report_silence:
             self.reporting = False
             return True
         return False
@@ -311,7 +309,7 @@
         """Tell when something here is due."""
         if self.instance and self._renew_at > self._now:
             return self._renew_at
-        return self._now + MAX_LEASE / 4
+        return self._now + self._deployment.lease / 4
 
 
 class Renewal(NamedTuple):
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -18,6 +18,7 @@
 from godwitbank._internal.core.identity import Identity, make_hello
 from godwitbank._internal.core.pressure import Pressure
 from godwitbank._internal.core.runs.addresses import ENTRIES_PER_AGENT
+from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.core.runs.dispatcher import Dispatcher
 from godwitbank._internal.core.runs.evacuations import Evacuations
 from godwitbank._internal.core.runs.events import (
@@ -102,6 +103,7 @@
         counts: Counts | None = None,
         policy: Policy = DEFAULT,
         entries_per_agent: int = ENTRIES_PER_AGENT,
+        deployment: Deployment = USUAL,
     ) -> None:
         self.identity = identity
         self._entries_per_agent = entries_per_agent
@@ -111,7 +113,7 @@
         self.evacuations = Evacuations()
         self.pressure = Pressure()
         self.dispatcher = Dispatcher(
-            identity.zone, rng, self.counts, now, self.pressure, policy
+            identity.zone, rng, self.counts, now, self.pressure, policy, deployment
         )
         self.stopping = False
         self._stopped_at = 0.0
--- a/src/godwitbank/_internal/core/runs/fleet.py
+++ b/src/godwitbank/_internal/core/runs/fleet.py
@@ -11,10 +11,6 @@
 from godwitbank._internal.models.resources import Resources
 from godwitbank._internal.models.run_messages import EndpointNews, Room
 
-ARRIVAL_SECONDS = 2.0
-"""Seconds in which a new entry's agents may still connect, and a new agent still
-find its endpoint: they dial every half second, and endpoints report every 1.5 s."""
-
 CAPACITY_SECONDS = 0.05
 """Age that the sum of all endpoints' cores may reach. Endpoints that come or go change
 it at once; slowness, which is told five times a second, within this time."""
@@ -153,9 +149,13 @@
 
 
 class Fleet:
-    """All agents, by stream; health outlives a stream."""
+    """All agents, by stream; health outlives a stream.
+
+    :param arrival_seconds: within which a new agent may still hear of its endpoint.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, arrival_seconds: float) -> None:
+        self._arrival_seconds = arrival_seconds
         self.views: dict[int, AgentView] = {}
         self._by_address: dict[str, AgentView] = {}
         self._open: dict[str, list[AgentView]] = {}
@@ -243,7 +243,7 @@
         An agent without an endpoint for longer has none; its room won't come.
         """
         return any(
-            now - view.opened_at < ARRIVAL_SECONDS
+            now - view.opened_at < self._arrival_seconds
             and not view.evacuated
             and (view.news is None or not view.news.settled)
             for view in self.views.values()
--- a/src/godwitbank/_internal/core/runs/lease.py
+++ b/src/godwitbank/_internal/core/runs/lease.py
@@ -7,8 +7,7 @@
 
 import math
 
-MAX_LEASE = 1.0
-"""Seconds of the longest lease an endpoint grants (platform's bound)."""
+from godwitbank._internal.core.runs.deployment import MAX_LEASE
 
 CLOCK_SKEW = 0.02
 """How much slower than true an endpoint's clock may run, as a share (bound)."""
@@ -34,7 +33,8 @@
 class EndpointClock:
     """An endpoint's clock as last told, and when all that it runs has lapsed."""
 
-    def __init__(self) -> None:
+    def __init__(self, lease: float = MAX_LEASE) -> None:
+        self._lease = lease
         self._told: int | None = None
         self._told_at = 0.0
         self.lapsed_at = -math.inf
@@ -63,7 +63,7 @@
         :param ends_by: when the lease must be over, however slow the endpoint's clock.
         """
         allowed = (ends_by - self._told_at) * (1 - CLOCK_SKEW)
-        seconds = min(now - self._told_at + MAX_LEASE, allowed)
+        seconds = min(now - self._told_at + self._lease, allowed)
         until = (self._told or 0) + int(seconds * 1000)
         left = (until - (self._told or 0)) / 1000 / (1 - CLOCK_SKEW)
         self.lapsed_at = max(self.lapsed_at, self._told_at + left + LAPSE_SLACK)
--- a/src/godwitbank/_internal/core/runs/placement.py
+++ b/src/godwitbank/_internal/core/runs/placement.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import NamedTuple
 
+from godwitbank._internal.core.runs.deployment import USUAL
 from godwitbank._internal.core.runs.fleet import AgentView
 from godwitbank._internal.core.runs.policy import DEFAULT, Policy
 from godwitbank._internal.core.runs.progress import SLOW_FACTOR
@@ -19,9 +20,6 @@
 and room that is too small for it stays idle. It costs the way from entry to agent for
 each start."""
 
-AWAY_FACTOR = 1.5
-"""How much longer a run takes away from its data (platform's figure)."""
-
 FULL_PENALTY = 0.15
 """Share of the run time that a nearly full agent costs against an empty one:
 other entries may be placing there at this moment, and the run would wait."""
@@ -50,8 +48,14 @@
     """Chooses the agent where a run is expected to end first."""
 
     def __init__(
-        self, zone: str, rng: Random, now: float, policy: Policy = DEFAULT
+        self,
+        zone: str,
+        rng: Random,
+        now: float,
+        policy: Policy = DEFAULT,
+        away_factor: float = USUAL.away_factor,
     ) -> None:
+        self._away_factor = away_factor
         self._zone = zone
         self._rng = rng
         self._now = now
@@ -131,7 +135,7 @@
         factor = view.factor
         rack = task.rules.rack
         if rack and rack not in view.labels:
-            factor *= AWAY_FACTOR
+            factor *= self._away_factor
         if self._policy.fullness:
             used = 1 - view.free.cpu / max(view.capacity.cpu, 1)
             factor *= 1 + FULL_PENALTY * used
--- a/src/godwitbank/_internal/core/runs/runner.py
+++ b/src/godwitbank/_internal/core/runs/runner.py
@@ -10,6 +10,7 @@
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.events import Send
 from godwitbank._internal.core.runs.claims import Claims
+from godwitbank._internal.core.runs.deployment import MAX_LEASE
 from godwitbank._internal.core.runs.endpoint import Endpoint, Unknown
 from godwitbank._internal.core.runs.events import (
     Held,
@@ -22,7 +23,6 @@
 from godwitbank._internal.core.runs.lease import (
     CLOCK_SKEW,
     LAPSE_SLACK,
-    MAX_LEASE,
     MIN_LEASE,
 )
 from godwitbank._internal.core.runs.links import Link, Links
--- a/src/godwitbank/_internal/operations/run_entry.py
+++ b/src/godwitbank/_internal/operations/run_entry.py
@@ -9,6 +9,7 @@
 from godwitbank._internal.core.events import CloseStream, Dial, Send, StopRequested
 from godwitbank._internal.core.identity import Identity, make_hello
 from godwitbank._internal.core.runs.admission import COME_BACK
+from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.core.runs.entry import RunEntryCore
 from godwitbank._internal.core.runs.events import (
     AddressesRead,
@@ -46,9 +47,16 @@
     """One entry for jobs of leased runs."""
 
     def __init__(
-        self, identity: Identity, rng: Random, log: DecisionLog, counts: Counts
+        self,
+        identity: Identity,
+        rng: Random,
+        log: DecisionLog,
+        counts: Counts,
+        deployment: Deployment = USUAL,
     ) -> None:
-        self.core = RunEntryCore(identity, rng, read_boot_time(), counts)
+        self.core = RunEntryCore(
+            identity, rng, read_boot_time(), counts, deployment=deployment
+        )
         self.exporter = Exporter(self.core.counts)
         self.stopping = asyncio.Event()
         self._quiet = asyncio.Event()
--- a/src/godwitbank/_internal/platform/agent_program.py
+++ b/src/godwitbank/_internal/platform/agent_program.py
@@ -31,7 +31,9 @@
     counts = Counts()
     log = DecisionLog(STANDARD_OUTPUT, settings.name, read_boot_time, counts)
     store = StoreClient(settings.store, settings.name, log, counts)
-    process = RunAgentProcess(identify(settings), orders, store, log, counts)
+    process = RunAgentProcess(
+        identify(settings), orders, store, log, counts, settings.deployment
+    )
     watch_settings(process, log)
     process.learn_entries(settings.seeds)
     finder = asyncio.create_task(find_entries(store, process))
--- a/src/godwitbank/_internal/platform/entry_program.py
+++ b/src/godwitbank/_internal/platform/entry_program.py
@@ -32,7 +32,7 @@
     counts = Counts()
     log = DecisionLog(STANDARD_OUTPUT, settings.name, read_boot_time, counts)
     rng = Random(os.urandom(8))
-    process = RunEntryProcess(identify(settings), rng, log, counts)
+    process = RunEntryProcess(identify(settings), rng, log, counts, settings.deployment)
     watch_settings(process, log)
     loop = asyncio.get_running_loop()
     listener = bind(stream_bind or settings.stream, "port-range")
--- a/src/godwitbank/_internal/platform/settings.py
+++ b/src/godwitbank/_internal/platform/settings.py
@@ -1,9 +1,11 @@
 """The settings file that the platform writes for each process."""
 
+import math
 import os
 from pathlib import Path
 from typing import NamedTuple
 
+from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.exceptions import SettingsError
 
 SETTINGS_VARIABLE = "GODWITBANK_SETTINGS"
@@ -25,6 +27,7 @@
     :param seeds: stream addresses of some entries, perhaps stale.
     :param store: ``host:port`` of the platform's store.
     :param endpoint: ``host:port`` of the endpoint's calls; agents only.
+    :param deployment: what the platform tells of its endpoints.
     """
 
     name: str
@@ -37,6 +40,7 @@
     seeds: tuple[str, ...]
     store: str
     endpoint: str
+    deployment: Deployment = USUAL
 
     @classmethod
     def from_environment(cls) -> "PlatformSettings":
@@ -85,6 +89,12 @@
             tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in seeds),
             _require(values, "platform.address"),
             values.get("app", ""),
+            Deployment(
+                _read_number(values, "bounds.hold-max-ms", USUAL.longest_lease * 1000)
+                / 1000,
+                _read_number(values, "heartbeat-ms", USUAL.report_period * 1000) / 1000,
+                _read_number(values, "bounds.far-factor", USUAL.away_factor),
+            ),
         )
 
 
@@ -97,3 +107,21 @@
             remedy=f"add a line {key}=VALUE",
         )
     return value
+
+
+def _read_number(values: dict[str, str], key: str, usual: float) -> float:
+    """Read a number above zero, or what is usual where the platform tells none."""
+    text = values.get(key, "")
+    if not text:
+        return usual
+    try:
+        number = float(text)
+    except ValueError:
+        number = 0.0
+    if not 0 < number < math.inf:
+        raise SettingsError(
+            f"{key} is wrong: {text!r}",
+            context=f"setting {key!r}",
+            remedy="give a number above zero",
+        )
+    return number
--- a/standins/leased_endpoint.py
+++ b/standins/leased_endpoint.py
@@ -73,8 +73,14 @@
     """One boot of an endpoint."""
 
     def __init__(
-        self, instance: str, service: str, capacity: Resources, clock_base: int = 10**6
+        self,
+        instance: str,
+        service: str,
+        capacity: Resources,
+        clock_base: int = 10**6,
+        longest_lease: float = 1.0,
     ) -> None:
+        self._longest_lease = longest_lease
         self.instance = instance
         self.service = service
         self.capacity = capacity
@@ -136,7 +142,7 @@
 
     def _extend(self, until: int | None, now: float) -> None:
         if until is not None:
-            longest = self.clock(now) + 1000
+            longest = self.clock(now) + int(self._longest_lease * 1000)
             self.lease_until = max(self.lease_until, min(until, longest))
 
     def start(self, order: Start, now: float, seconds: float) -> StartAnswered:
--- /dev/null
+++ b/tests/core/runs/test_deployment.py
@@ -0,0 +1,63 @@
+"""Figures that settings tell are kept to."""
+
+import pytest
+
+from godwitbank._internal.core.runs.deployment import MAX_LEASE, USUAL, Deployment
+from godwitbank._internal.core.runs.lease import EndpointClock
+from tests.lib.runs_world import RunsWorld, make_job
+
+NOW = 100.0
+
+
+def make_world(deployment: Deployment) -> RunsWorld:
+    """Make a small world whose endpoints are of a deployment."""
+    world = RunsWorld(deployment=deployment)
+    for number in range(2):
+        world.add_entry(f"entry-{number}")
+        world.add_agent(f"agent-{number}")
+    world.run(4.0)
+    return world
+
+
+@pytest.mark.parametrize("longest", [0.4, 1.0, 2.0])
+def test_no_lease_is_longer_than_endpoints_and_callers_allow(longest: float) -> None:
+    clock = EndpointClock(Deployment(longest_lease=longest).lease)
+    clock.hear(1000, NOW)
+    until = clock.grant(NOW, NOW + 10.0)
+    assert until == 1000 + int(min(longest, MAX_LEASE) * 1000)
+
+
+@pytest.mark.parametrize("period", [0.5, 1.5, 3.0])
+def test_an_endpoint_counts_as_gone_after_three_reports_that_are_missing(
+    period: float,
+) -> None:
+    world = make_world(USUAL._replace(report_period=period))
+    agent = world.processes["agent-0"]
+    assert agent.core.open
+    world.crash_endpoint("agent-0")
+    world.run(2.0 * period)
+    assert agent.core.endpoint.reporting
+    world.run(1.5 * period + 1.0)
+    assert not agent.core.endpoint.reporting
+
+
+def test_jobs_wait_for_endpoints_that_report_seldom() -> None:
+    world = RunsWorld(deployment=USUAL._replace(report_period=3.0))
+    world.add_entry("entry-0")
+    world.add_agent("agent-0")
+    world.run(1.2)
+    world.kill("agent-0")
+    world.add_agent("agent-0")
+    world.kept.clear()
+    world.run(0.1)
+    world.submit("entry-0", make_job("j1", seconds=8.0))
+    world.run(12.0)
+    assert world.get_ends("j1") == ["completed"]
+
+
+@pytest.mark.parametrize("longest", [0.5, 2.0])
+def test_long_runs_live_on_whatever_leases_endpoints_allow(longest: float) -> None:
+    world = make_world(USUAL._replace(longest_lease=longest))
+    world.submit("entry-0", make_job("j1", width=4, seconds=5.0))
+    world.run(6.0)
+    assert world.get_ends("j1") == ["completed"]
--- a/tests/core/runs/test_exploration.py
+++ b/tests/core/runs/test_exploration.py
@@ -12,6 +12,7 @@
 import pytest
 from standins.leased_endpoint import Behaviour
 
+from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.core.runs.events import AddressesRead, Lagged
 from tests.lib.runs_world import Process, RunsWorld, make_job
 
@@ -128,12 +129,15 @@
         impatient: bool = False,
         size: Size = SMALL,
         zones: int = 1,
+        deployment: Deployment = USUAL,
     ) -> None:
         self.impatient = impatient
         self.rng = Random(seed)
         self.entries = size.entries
         self.agents = size.agents
-        self.world = RunsWorld(seed, entries_per_agent=size.entries_per_agent)
+        self.world = RunsWorld(
+            seed, entries_per_agent=size.entries_per_agent, deployment=deployment
+        )
         self.submitted = 0
         self.asked: list[Asked] = []
         for position, name in enumerate((*self.entries, *self.agents)):
@@ -458,3 +462,18 @@
 @pytest.mark.parametrize("seed", FOUND)
 def test_what_was_found_with_impatient_callers_stays_mended(seed: int) -> None:
     explore(Explorer(seed, impatient=True))
+
+
+@pytest.mark.parametrize("seed", SEEDS[:20])
+@pytest.mark.parametrize(
+    "deployment",
+    [
+        Deployment(longest_lease=2.0, report_period=3.0),
+        Deployment(longest_lease=0.5, report_period=0.5),
+    ],
+    ids=["long", "short"],
+)
+def test_nothing_runs_twice_where_leases_and_reports_are_longer_or_shorter(
+    deployment: Deployment, seed: int
+) -> None:
+    explore(Explorer(seed, deployment=deployment))
--- a/tests/lib/runs_world.py
+++ b/tests/lib/runs_world.py
@@ -28,6 +28,7 @@
 from godwitbank._internal.core.identity import Identity, make_hello
 from godwitbank._internal.core.runs.addresses import ENTRIES_PER_AGENT
 from godwitbank._internal.core.runs.agent import RunAgentCore
+from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.core.runs.entry import RunEntryCore
 from godwitbank._internal.core.runs.events import (
     AddressesRead,
@@ -63,7 +64,6 @@
 
 LINK_DELAY = 0.001
 CALL_DELAY = 0.002
-REPORT_PERIOD = 1.5
 LOCAL_RESTART = 0.6
 STORE_DELAY = 0.005
 ZONE = "zone-1"
@@ -127,7 +127,9 @@
         config: Configuration | None = None,
         policy: Policy = DEFAULT,
         entries_per_agent: int = ENTRIES_PER_AGENT,
+        deployment: Deployment = USUAL,
     ) -> None:
+        self.deployment = deployment
         self.policy = policy
         self.entries_per_agent = entries_per_agent
         self.now = 100.0
@@ -179,6 +181,7 @@
             self.now,
             policy=self.policy,
             entries_per_agent=self.entries_per_agent,
+            deployment=self.deployment,
         )
         process = self.processes[name] = make(self, name, core)
         if name not in self.store_away:
@@ -194,9 +197,13 @@
         """Start an agent, and its endpoint if there is none."""
         zone = self.zones.setdefault(name, zone)
         identity = Identity(name, f"{name}#{next(self._sequence)}", name, zone)
-        process = Process(
-            self, name, RunAgentCore(identity, self.now, entries=self.entries_per_agent)
+        core = RunAgentCore(
+            identity,
+            self.now,
+            entries=self.entries_per_agent,
+            deployment=self.deployment,
         )
+        process = Process(self, name, core)
         self.processes[name] = process
         entries = [each.name for each in self._list(RunEntryCore)]
         process.give(AddressesRead(tuple(entries)))
@@ -208,7 +215,8 @@
         """Start an endpoint beside an agent."""
         instance = f"i-{name}-{next(self._sequence)}"
         base = 10**6 + 10**5 * next(self._sequence)
-        endpoint = FakeEndpoint(instance, QUEUE.service, capacity, base)
+        longest = self.deployment.longest_lease
+        endpoint = FakeEndpoint(instance, QUEUE.service, capacity, base, longest)
         self.endpoints[name] = endpoint
         self.after(0.0, lambda: self._report(name, endpoint))
         return endpoint
@@ -219,7 +227,7 @@
         process = self.processes.get(name)
         if process is not None and not process.dead and not process.frozen:
             process.give(Reported(endpoint.report(self.now)))
-        self.after(REPORT_PERIOD, lambda: self._report(name, endpoint))
+        self.after(self.deployment.report_period, lambda: self._report(name, endpoint))
 
     def _list(self, kind: type) -> list[Process]:
         return [
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.exceptions import SettingsError
 from godwitbank._internal.platform.settings import PlatformSettings
 
@@ -49,3 +50,17 @@
     monkeypatch.delenv("GODWITBANK_SETTINGS", raising=False)
     with pytest.raises(SettingsError, match="GODWITBANK_SETTINGS"):
         PlatformSettings.from_environment()
+
+
+def test_what_the_platform_tells_of_endpoints_is_taken() -> None:
+    told = {"bounds.hold_max_ms": "2000", "heartbeat-ms": "3000"}
+    text = make_text(**told, **{"bounds.far_factor": "3"})
+    deployment = PlatformSettings.from_text(text).deployment
+    assert deployment == Deployment(2.0, 3.0, 3.0)
+    assert PlatformSettings.from_text(make_text()).deployment == USUAL
+
+
+@pytest.mark.parametrize("value", ["soon", "0", "-1", "inf", "nan"])
+def test_a_figure_that_is_none_is_named(value: str) -> None:
+    with pytest.raises(SettingsError, match="heartbeat-ms"):
+        PlatformSettings.from_text(make_text(**{"heartbeat-ms": value}))
