--- a/bench/lab/__main__.py
+++ b/bench/lab/__main__.py
@@ -51,7 +51,9 @@
     """Print one line a policy."""
     print(f"\n{scenario}")
     head = [*Outcome._fields[:2], "share", *Outcome._fields[2:]]
-    print(f"{'policy':28}" + "".join(f"{each[:8]:>9}" for each in head) + "  difference")
+    print(
+        f"{'policy':28}" + "".join(f"{each[:8]:>9}" for each in head) + "  difference"
+    )
     base = [each.worth for each in next(iter(outcomes.values()))]
     for policy, played in outcomes.items():
         worth, bound, *rest = (mean(column) for column in zip(*played, strict=True))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,6 +8,10 @@
 """Seconds after the acknowledgement of a drain in which starts may still come
 (users' bound)."""
 
+EVACUATION_SECONDS = 5.0
+"""Seconds after a zone's evacuation in which runs may still start there (users'
+bound)."""
+
 REFUSED = (429, 503)
 
 
@@ -23,6 +27,7 @@
         *_find_twice(runs),
         *_find_overfull(runs, cores),
         *_find_after_drain(runs),
+        *_find_after_evacuation(runs),
         *_find_false_refusals(attempts, runs),
         *_find_false_completions(attempts, runs),
         *_find_cut(attempts, taken),
@@ -54,6 +59,13 @@
             yield f"{run.task} began {run.began - drained:.3f} s after the drain"
 
 
+def _find_after_evacuation(runs: list[Run]) -> Iterator[str]:
+    for run in runs:
+        bound = run.evacuated_at + EVACUATION_SECONDS
+        if run.evacuated_at and not run.late and run.began > bound:
+            yield f"{run.task} began {run.began - bound:.3f} s late in an emptied zone"
+
+
 def _find_false_refusals(attempts: list[Attempt], runs: list[Run]) -> Iterator[str]:
     started = {run.job for run in runs}
     for job, tries in group_by_job(attempts).items():
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 
 import httpx
 
-from soak.fleet import SoakFleet
+from soak.fleet import ZONES, SoakFleet
 
 Undo = Callable[[], None]
 
@@ -30,9 +30,13 @@
 
 
 class Faults:
-    """Draws faults and brings them upon a deployment."""
+    """Draws faults and brings them upon a deployment.
 
-    def __init__(self, fleet: SoakFleet, rng: Random) -> None:
+    :param empties: whether zones are emptied, too. Without, a seed draws the same
+        faults as before there were zones.
+    """
+
+    def __init__(self, fleet: SoakFleet, rng: Random, empties: bool = True) -> None:
         self._fleet = fleet
         self._rng = rng
         self._kinds = (
@@ -52,6 +56,7 @@
             self._drain,
             self._disturb_store,
             self._kill_all_entries,
+            *([self._empty_zone] if empties else []),
         )
 
     def begin(self) -> Begun:
@@ -168,6 +173,12 @@
         self._set(name, draining=True)
         return Begun(f"drain {name}", 4.0, lambda: self._replace(f"{name}-endpoint"))
 
+    def _empty_zone(self) -> Begun:
+        zone = f"zone-{self._rng.randint(1, ZONES)}"
+        self._fleet.empty_zone(zone)
+        seconds = self._rng.choice((0.5, 4.0, 7.0))
+        return Begun(f"empty {zone}", seconds, lambda: self._fleet.return_zone(zone))
+
     def _set(self, name: str, **knobs: object) -> None:
         # An endpoint that is down or paused doesn't hear it; the fault is void.
         with contextlib.suppress(httpx.HTTPError):
@@ -195,6 +206,8 @@
         """End whatever may still be wrong."""
         fleet = self._fleet
         self._restore_store()
+        for number in range(1, ZONES + 1):
+            fleet.return_zone(f"zone-{number}")
         for name in fleet.entries + fleet.agents:
             for kind in ("front", "inner", "app", "control", "store"):
                 fleet.command(name, kind, hold="none", delay=0.0)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -10,6 +10,9 @@
 from standins.fleet import pick_port, wait_for
 from standins.platform_fleet import PlatformFleet
 
+ZONES = 2
+"""Availability zones that processes stand in by turns."""
+
 KINDS = ("front", "inner", "app", "control", "store")
 """What a connection to or from a VM is for: callers to an entry, streams to an
 entry, an agent's calls to its endpoint, the endpoint's reports to its agent, and a
@@ -25,6 +28,8 @@
         self.agents = [f"agent-{number}" for number in range(agents)]
         self.ended_at: dict[str, float] = {}
         """When a process was killed on purpose; absent while it should run."""
+        for position, name in enumerate(self.entries + self.agents):
+            self.zones[name] = f"zone-{1 + position % ZONES}"
         self._control = pick_port()
         self._store_port = self.store.rpartition(":")[2]
         names = self.entries + self.agents
@@ -104,6 +109,21 @@
         with (self.folder / f"{name}.log").open("a") as log:
             log.write(json.dumps(line) + "\n")
 
+    def empty_zone(self, zone: str) -> None:
+        """Evacuate a zone, and write down since when at its endpoints."""
+        self.evacuate(zone)
+        self._note_zone(zone, "evacuated")
+
+    def return_zone(self, zone: str) -> None:
+        """Take a zone back; from now on runs may start there."""
+        self._note_zone(zone, "taken back")
+        self.take_back(zone)
+
+    def _note_zone(self, zone: str, event: str) -> None:
+        for name in self.agents:
+            if self.zones[name] == zone:
+                self._write(f"{name}-endpoint", event)
+
     def pause(self, name: str, paused: bool) -> None:
         """Suspend a process, or let it go on."""
         if self.processes[name].poll() is None:
--- a/soak/play.py
+++ b/soak/play.py
@@ -41,16 +41,24 @@
     runs: int
 
 
-def play(seed: int, seconds: float, folder: Path, entries: int, agents: int) -> Outcome:
+def play(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    entries: int,
+    agents: int,
+    empties: bool = True,
+) -> Outcome:
     """Play one seed and check what callers and endpoints saw.
 
     :param seconds: how long faults come.
+    :param empties: whether zones are emptied, too.
     """
     fleet = SoakFleet(folder, entries, agents)
     callers = Callers(fleet, seed, CALLERS)
     try:
         rng = Random(seed)
-        faults = Faults(fleet, rng)
+        faults = Faults(fleet, rng, empties)
         begun = _disturb(faults, rng, seconds)
         broken = [f"{name} ended by itself" for name in fleet.list_dead()]
         faults.heal()
--- a/soak/records.py
+++ b/soak/records.py
@@ -35,6 +35,7 @@
     :param late: the order was carried out seconds after it was given.
     :param alive: runs at work there just after this one began.
     :param drain_heard_at: when the endpoint's drain was acknowledged, or 0.
+    :param evacuated_at: since when its zone is evacuated, or 0.
     :param end: how it ended; empty if the endpoint was killed meanwhile.
     """
 
@@ -47,6 +48,7 @@
     late: bool
     alive: int
     drain_heard_at: float
+    evacuated_at: float = 0.0
 
     @property
     def job(self) -> str:
@@ -90,6 +92,7 @@
     runs: list[Run] = []
     open_runs: dict[tuple[str, int], Run] = {}
     paused_at = NEVER
+    evacuated_at = 0.0
     for line in lines:
         if line["event"] == "began":
             run = Run(
@@ -102,6 +105,7 @@
                 line["late"],
                 line["alive"],
                 line["drain_heard_at"],
+                evacuated_at,
             )
             open_runs[run.task, run.number] = run
         elif line["event"] == "ended":
@@ -109,6 +113,8 @@
             runs.append(run._replace(ended=line["ended"], end=line["end"]))
         elif line["event"] in ("paused", "resumed"):
             paused_at = line["at"] if line["event"] == "paused" else NEVER
+        elif line["event"] in ("evacuated", "taken back"):
+            evacuated_at = line["at"] if line["event"] == "evacuated" else 0.0
         elif line["event"] == "killed":
             # A paused endpoint gets no renewal, so its runs lapse though it can't
             # write that down before it is killed.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -41,6 +41,13 @@
     assert find(runs=(drained._replace(late=True),)) == ""
 
 
+def test_a_start_in_an_emptied_zone_is_noticed_unless_it_was_held_up() -> None:
+    emptied = RUN._replace(evacuated_at=4.0)
+    assert "emptied zone" in find(runs=(emptied,))
+    assert find(runs=(emptied._replace(late=True),)) == ""
+    assert find(runs=(emptied._replace(evacuated_at=6.0),)) == ""
+
+
 def test_a_refusal_that_was_not_true_is_noticed() -> None:
     refused = ATTEMPT._replace(status=503, state="")
     assert "and ran" in find(attempts=(refused,))
