Move figures and tuning from more comments to the capacity page

Comments only: the trees of the eight files are the same without their doc strings. The figures stand in docs/CAPACITY.md, "Figures behind constants".

--- a/src/godwitbank/_internal/cli/entrypoints.py
+++ b/src/godwitbank/_internal/cli/entrypoints.py
@@ -95,8 +95,8 @@
 def _import_program(
     arguments: list[str], stream_bind: str
 ) -> Callable[[], Coroutine[Any, Any, None]]:
-    # What is imported stays. Looking for garbage in it takes 0.03 s of a core
-    # meanwhile, and some milliseconds with every full collection later.
+    # What is imported stays. Looking for garbage in it makes the start longer, and
+    # every full collection later.
     gc.disable()
     try:
         if arguments == ["entry"]:
@@ -114,9 +114,9 @@
 
 
 def _import_agent() -> Callable[[], Coroutine[Any, Any, None]]:
-    # The endpoint reports as soon as its VM is up, and 1.5 s later again. While the
-    # agent is imported its report waits in the listener's queue; refused, it left the
-    # endpoint's room unused for a second after every VM came back at once.
+    # The endpoint reports as soon as its VM is up, and not soon again. While the agent
+    # is imported its report waits in the listener's queue; refused, it would leave the
+    # endpoint's room unused until the next.
     from godwitbank._internal.platform.listening import listen_for_reports
 
     listening = listen_for_reports()
--- a/src/godwitbank/_internal/core/runs/endpoint.py
+++ b/src/godwitbank/_internal/core/runs/endpoint.py
@@ -18,9 +18,9 @@
 
 MIN_PATIENCE = 0.06
 MAX_PATIENCE = 0.3
-"""Seconds to wait for the answer to an order. Answers take 3 ms from an endpoint on
-the same VM; one that doesn't come holds its room until it is certain that the
-order is void. The upper bound leaves time for three tries within a lease."""
+"""Seconds to wait for the answer to an order. One that doesn't come holds its room
+until it is certain that the order is void. The upper bound leaves time for three tries
+within a lease."""
 
 PATIENCE_FACTOR = 6.0
 """Multiple of the usual answer time: a VM that is slowed five times must not
--- a/src/godwitbank/_internal/core/runs/fleet.py
+++ b/src/godwitbank/_internal/core/runs/fleet.py
@@ -21,8 +21,8 @@
 
 ARRIVAL_WAIT = 0.5
 """Seconds a job must be able to wait to be taken while no endpoint is there yet. After
-all VMs had lost power, endpoints came 0.6 to 1.2 s after the entries: a third of the
-work taken meanwhile was late, and a fifth of it of no use any more."""
+all VMs lost power endpoints come later than entries; what can't wait would be late, and
+take room from what isn't."""
 
 
 class Measured(NamedTuple):
--- a/src/godwitbank/_internal/core/runs/forwarding.py
+++ b/src/godwitbank/_internal/core/runs/forwarding.py
@@ -26,7 +26,7 @@
 
 FORWARD_LAG = 0.01
 """Seconds of lateness from which new jobs are handed on; a third of that at which they
-are refused. The way to another entry and back costs a job some 2 ms."""
+are refused, as the way to another entry and back costs a job little."""
 
 SPARE_LAG = 0.005
 """Mean lateness in seconds below which an entry is handed jobs of others. Above
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -25,8 +25,8 @@
 
 OVERDUE = 0.4
 """Seconds without a frame after which a busy stream gets nothing new: its other end is
-slow or gone. Proofs of life come 0.3 s apart at the most. What is sent to an agent that
-is gone is late by 2 s, and would be sent for 0.7 s otherwise."""
+slow or gone. What is sent to an agent that is gone is late by the time until its runs
+count as lost, and would be sent until the stream counts as dead otherwise."""
 
 IDLE_PULSE = 1.5
 """Seconds between proofs of life on a stream with nothing in flight."""
@@ -45,8 +45,8 @@
 whether it stood still for that long."""
 
 PEER_PAUSE = 0.012
-"""Seconds between proofs of life to two other entries, so that an entry sends them 83 a
-second. Up to 16 others hear every ``PULSE``."""
+"""Seconds between proofs of life to two other entries: what an entry spends on them is
+the same however many there are, but for few, which hear every ``PULSE``."""
 
 MAX_PEER_PULSE = 0.4
 """The longest pulse to other entries. With it goes what was taken from callers, which
--- a/src/godwitbank/_internal/core/runs/placement.py
+++ b/src/godwitbank/_internal/core/runs/placement.py
@@ -68,8 +68,7 @@
         slow endpoints come last, room or not.
 
         While all are full, tasks that wait are looked at over and over: then this
-        must cost next to nothing. With 61 agents it took 480 us a task, and a job that
-        came while eight tasks waited took the entry 4 ms more than one that didn't.
+        must cost next to nothing, or jobs take the longer the more tasks wait.
         """
         if self._should_park(task):
             return self._choose_of_all(views, task)
--- a/src/godwitbank/_internal/core/runs/progress.py
+++ b/src/godwitbank/_internal/core/runs/progress.py
@@ -26,17 +26,16 @@
 ``SLOW_FACTOR``."""
 
 FADE_SECONDS = 2.0
-"""Seconds in which a slowness that nothing confirms fades to a third. Endpoints were
-seen slow for 6 s; one that is forgotten at once gets new work after each move, which
-is then late; one that is remembered for long stays idle after it is well."""
+"""Seconds in which a slowness that nothing confirms fades to a third. An endpoint that
+is forgotten at once gets new work after each move, which is then late; one that is
+remembered for long stays idle after it is well."""
 
 SLOW_FACTOR = 2.0
-"""Slowness from which runs are moved. The slowest sound kind of endpoint takes 1.3
-times as long as the fastest, and shared rooms vary a little more."""
+"""Slowness from which runs are moved; above what sound kinds of endpoint differ by."""
 
 MOVE_SECONDS = 0.2
-"""Seconds a move costs: 50 ms until the run has stopped, the way to another agent, and
-some waiting there."""
+"""Seconds a move costs: until the run has stopped, the way to another agent, and some
+waiting there."""
 
 
 class Progress:
--- a/src/godwitbank/_internal/operations/server.py
+++ b/src/godwitbank/_internal/operations/server.py
@@ -10,8 +10,7 @@
 """Connections a listener takes in one turn of the event loop.
 
 The loop takes one a turn and listener. With turns of some milliseconds, callers that
-come on new connections wait in the kernel's queue, where nothing here sees them: on
-loopback at 200 a second half of them waited for 0.48 s, and 0.15 s on kept ones."""
+come on new connections wait in the kernel's queue, where nothing here sees them."""
 
 
 class HttpServer:
