Read and make news of evacuated zones in one place; name what tells entries first

Cause, found by reading the change: entry and agent decoded the same message each by themselves, and a predicate of the bulletins (_is_news) counted while it was asked.

Change: read_message and make_message beside Evacuations; _must_know asks, _take_first_place counts. No behaviour is changed.

--- a/src/godwitbank/_internal/core/runs/agent.py
+++ b/src/godwitbank/_internal/core/runs/agent.py
@@ -24,7 +24,7 @@
 from godwitbank._internal.core.runs.bulletins import Bulletins
 from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.core.runs.endpoint import Endpoint
-from godwitbank._internal.core.runs.evacuations import Evacuations
+from godwitbank._internal.core.runs.evacuations import Evacuations, read_message
 from godwitbank._internal.core.runs.events import (
     AddressesRead,
     Departed,
@@ -42,7 +42,7 @@
 from godwitbank._internal.core.runs.links import Link, Links
 from godwitbank._internal.core.runs.moves import StreamMoves
 from godwitbank._internal.core.runs.runner import Runner
-from godwitbank._internal.models.jobs import Evacuation, RunEnd
+from godwitbank._internal.models.jobs import RunEnd
 from godwitbank._internal.models.messages import (
     PROTOCOL_VERSION,
     Hello,
@@ -267,7 +267,7 @@
         self.runner.prove_life(link, message.clock)
 
     def _hear_evacuated(self, link: Link, message: Evacuated) -> None:
-        told = Evacuation(frozenset(map(str, message.zones)), message.revision)
+        told = read_message(message)
         if self.evacuations.install(told) is None:
             return
         evacuated = self.evacuations.covers(self.identity.zone)
--- a/src/godwitbank/_internal/core/runs/bulletins.py
+++ b/src/godwitbank/_internal/core/runs/bulletins.py
@@ -99,7 +99,7 @@
         if told.room == room:
             return due
         urgent = at_once or self._all or told.room is None
-        if not urgent and not self._is_news(told.room, room):
+        if not urgent and not self._must_know(told.room, room):
             self._due_at = self._next_at
             return due
         told.room = room
@@ -107,15 +107,18 @@
         due.append(room)
         return due
 
-    def _is_news(self, told: Room | None, room: Room) -> bool:
-        """Tell whether an entry would decide otherwise if it knew, and is to know."""
+    def _must_know(self, told: Room | None, room: Room) -> bool:
+        """Tell whether an entry that waits to be told would decide otherwise now."""
         had_room = told is not None and told.cpu >= self._usual_cpu
         has_room = room.cpu >= self._usual_cpu
         if had_room == has_room:
             return False
-        if has_room:
-            self._first_left -= 1
-        return had_room or self._first_left >= 0
+        return had_room or self._take_first_place()
+
+    def _take_first_place(self) -> bool:
+        """Count an entry among those told first of room, if there is a place left."""
+        self._first_left -= 1
+        return self._first_left >= 0
 
     def next_wakeup(self) -> float:
         """Tell when entries that were not told yet are to be told."""
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -20,7 +20,11 @@
 from godwitbank._internal.core.runs.addresses import ENTRIES_PER_AGENT
 from godwitbank._internal.core.runs.deployment import USUAL, Deployment
 from godwitbank._internal.core.runs.dispatcher import Dispatcher
-from godwitbank._internal.core.runs.evacuations import Evacuations
+from godwitbank._internal.core.runs.evacuations import (
+    Evacuations,
+    make_message,
+    read_message,
+)
 from godwitbank._internal.core.runs.events import (
     AddressesRead,
     CallerGone,
@@ -429,7 +433,7 @@
         self._install_evacuation(event.evacuation, "store")
 
     def _hear_evacuated(self, link: Link, message: Evacuated) -> None:
-        told = Evacuation(frozenset(map(str, message.zones)), message.revision)
+        told = read_message(message)
         if self.evacuations.is_outdated(told):
             self._send_evacuation(link.stream)
             return
@@ -447,8 +451,7 @@
 
     def _send_evacuation(self, stream: int) -> None:
         if self.evacuations.known:
-            newest = self.evacuations.newest
-            self._send(stream, Evacuated(sorted(newest.zones), newest.revision))
+            self._send(stream, make_message(self.evacuations.newest))
 
     # Time
 
--- a/src/godwitbank/_internal/core/runs/evacuations.py
+++ b/src/godwitbank/_internal/core/runs/evacuations.py
@@ -7,6 +7,7 @@
 """
 
 from godwitbank._internal.models.jobs import Evacuation
+from godwitbank._internal.models.run_messages import Evacuated
 
 NONE_KNOWN = Evacuation(frozenset(), -1)
 
@@ -48,3 +49,13 @@
         """Tell whether somebody else holds older knowledge that differs."""
         older = told.revision < self._newest.revision
         return older and told.zones != self._newest.zones
+
+
+def make_message(known: Evacuation) -> Evacuated:
+    """Make what other processes are told."""
+    return Evacuated(sorted(known.zones), known.revision)
+
+
+def read_message(message: Evacuated) -> Evacuation:
+    """Read what another process told."""
+    return Evacuation(frozenset(map(str, message.zones)), message.revision)
