Write each line of the stand-in endpoint's records at once

Cause: with PYTHONUNBUFFERED set, print() writes a line and its end in two writes; the soak wrote "resumed" between them. Ruled out: the product, whose processes write elsewhere. The record shows both objects on one line, and an empty line after it. Change: one write. The test fails before (["}", "\n"]) and passes now.

--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -90,7 +90,9 @@
     def tell(self, **fields: Any) -> None:
         """Write a line of what happened here."""
         line = {"instance": self.fake.instance, "at": time.monotonic(), **fields}
-        print(json.dumps(line), flush=True)
+        # In one write: others add lines to the same file.
+        sys.stdout.write(json.dumps(line) + "\n")
+        sys.stdout.flush()
 
     async def tell_ends_forever(self) -> None:
         """Write a line for each run that has ended."""
--- a/tests/soak/test_records.py
+++ b/tests/soak/test_records.py
@@ -1,6 +1,8 @@
 """What the soak reads from endpoints' logs."""
 
+import io
 import json
+import sys
 from pathlib import Path
 
 import pytest
@@ -37,6 +39,20 @@
     assert [run.ended for run in read_runs(tmp_path)] == [ended]
 
 
+def test_an_endpoint_writes_each_line_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against records that can't be read, as others write between the parts."""
+    written: list[str] = []
+
+    class Output(io.StringIO):
+        def write(self, text: str) -> int:
+            written.append(text)
+            return len(text)
+
+    monkeypatch.setattr(sys, "stdout", Output())
+    Daemon("desk", "127.0.0.1:1", "127.0.0.1:2", 4, "zone-1").tell(event="began")
+    assert [text[-1:] for text in written] == ["\n"]
+
+
 def test_an_endpoint_writes_an_end_down_before_it_tells_of_it(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
