Let some of the soak's callers hand a job in at two entries at once

As a retry in a balancer or an app with two paths does. The faults that a seed draws stay as they were; seeds found before are played without.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -16,15 +16,24 @@
 
 PATIENCE_SECONDS = 10.0
 TRIES = 4
+TWICE = 0.15
+"""Share of the jobs that are handed in at two entries at once."""
+
 PAUSE_SECONDS = 0.15
 """Mean wait of a caller between two jobs; four of them fill some two thirds of a
 deployment of three endpoints."""
 
 
 class Callers:
-    """Threads that hand jobs in until told to stop."""
+    """Threads that hand jobs in until told to stop.
+
+    :param twice: whether some jobs are handed in at two entries at once.
+    """
 
-    def __init__(self, fleet: SoakFleet, seed: int, count: int) -> None:
+    def __init__(
+        self, fleet: SoakFleet, seed: int, count: int, twice: bool = True
+    ) -> None:
+        self._twice = twice
         self.attempts: list[Attempt] = []
         self._fleet = fleet
         self._stop = threading.Event()
@@ -59,6 +68,10 @@
     def _hand_in(self, client: httpx.Client, rng: Random, job: str) -> None:
         width = rng.choice((1, 2, 2, 4, 8))
         body = make_body(width, rng.choice((0.05, 0.1, 0.1, 0.4, 1.2)))
+        several = len(self._fleet.entries) > 1
+        if self._twice and several and rng.random() < TWICE:
+            self._hand_in_twice(client, rng, job, width, body)
+            return
         until = read_boot_time() + PATIENCE_SECONDS
         for _ in range(TRIES):
             entry = rng.choice(self._fleet.entries)
@@ -69,6 +82,22 @@
                 return
             time.sleep(COME_AGAIN_SECONDS)
 
+    def _hand_in_twice(
+        self, client: httpx.Client, rng: Random, job: str, width: int, body: str
+    ) -> None:
+        """Hand a job in at two entries at once, as a retry in a balancer may."""
+        first, second = rng.sample(self._fleet.entries, 2)
+        until = read_boot_time() + PATIENCE_SECONDS
+
+        def hand_in(entry: str) -> None:
+            attempt = self._try(client, job, width, body, entry, until)
+            self.attempts.append(attempt)
+
+        other = threading.Thread(target=hand_in, args=(second,))
+        other.start()
+        hand_in(first)
+        other.join()
+
     def _try(
         self,
         client: httpx.Client,
--- a/soak/play.py
+++ b/soak/play.py
@@ -59,7 +59,7 @@
     :param newer: whether the newer kinds of faults come, too.
     """
     fleet = SoakFleet(folder, entries, agents)
-    callers = Callers(fleet, seed, CALLERS)
+    callers = Callers(fleet, seed, CALLERS, twice=newer)
     try:
         rng = Random(seed)
         faults = Faults(fleet, rng, newer)
