--- a/src/godwitbank/_internal/core/runs/addresses.py
+++ b/src/godwitbank/_internal/core/runs/addresses.py
@@ -76,6 +76,11 @@
         self._dialling[address] = dialling
         self._due_at = min(self._due_at, dialling.due_at)
 
+    @property
+    def own(self) -> str:
+        """The process's own address."""
+        return self._own
+
     @property
     def count(self) -> int:
         """Number of addresses known but the own one."""
--- a/src/godwitbank/_internal/core/runs/adoption.py
+++ b/src/godwitbank/_internal/core/runs/adoption.py
@@ -36,12 +36,17 @@
 
     def adopt(self, stream: int, message: Forward) -> JobSubmitted:
         """Note a job's origin, and decode it."""
-        caller = -next(self._numbers)
-        self._origins[caller] = Origin(stream, message.job)
+        caller = self.add_caller(stream, message.job)
         steps = tuple(_decode_step(fields) for fields in message.steps)
         spec = JobSpec(message.job, message.queue, message.payload, steps)
         return JobSubmitted(caller, spec, message.patience)
 
+    def add_caller(self, stream: int, job: str) -> int:
+        """Give a number to a caller of another entry."""
+        caller = -next(self._numbers)
+        self._origins[caller] = Origin(stream, job)
+        return caller
+
     def is_adopted(self, caller: int) -> bool:
         """Tell whether a caller came to another entry."""
         return caller in self._origins
--- a/src/godwitbank/_internal/core/runs/claims.py
+++ b/src/godwitbank/_internal/core/runs/claims.py
@@ -1,16 +1,25 @@
 """Claims of jobs at one agent: whose runs of a job may be here.
 
-Two entries that can't reach each other may both have a job: its caller went from
-one to the other. The agents reach both, and let the newest claim win.
+Two entries that can't reach each other may both have a job. The agents reach both, and
+let the newest claim win: its caller went from one to the other. Of two claims at one
+moment agents may hear either first; there the claimants' order decides, so that no two
+entries win at an agent each.
 """
 
 from collections import OrderedDict
 from typing import NamedTuple
 
+from godwitbank._internal.core.runs.links import SILENCE
+
 KEEP_SECONDS = 20.0
 """Seconds a claim is kept; longer than any caller waits (10 s)."""
 
 
+SAME_MOMENT = SILENCE
+"""Seconds between two claims within which agents may hear either first: what was held
+up for longer isn't read any more."""
+
+
 class Claimant(NamedTuple):
     """The entry that claimed a job last."""
 
@@ -35,6 +44,16 @@
         while now - next(iter(self._claims.values())).at > KEEP_SECONDS:
             self._claims.popitem(last=False)
 
+    def find_earlier(self, job: str, incarnation: str, now: float) -> str:
+        """Find who claimed a job at the same moment and goes before an entry.
+
+        :return: that one's incarnation, or an empty string.
+        """
+        claimant = self._claims.get(job)
+        if claimant is None or now - claimant.at > SAME_MOMENT:
+            return ""
+        return claimant.incarnation if claimant.incarnation > incarnation else ""
+
     def allows(self, job: str, incarnation: str) -> bool:
         """Tell whether an entry may still start runs of a job."""
         claimant = self._claims.get(job)
--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -82,6 +82,8 @@
         self._zone = zone
         self._rng = rng
         self._counts = counts
+        self.on_gone: Callable[[str], None] = lambda job: None
+        """Told of each job of which nothing is left."""
         self.is_unsure: Callable[[], bool] = lambda: False
         self.hand_on: Callable[[Job], bool] = lambda job: False
         self._waiting: dict[str, WaitingTasks] = {}
@@ -166,7 +168,7 @@
         return room >= ROOM_FACTOR * step.width
 
     def refuse(self, job: Job, reason: str) -> None:
-        """Answer that a job has not run and was not taken."""
+        """Answer that a job was not taken, and has not run if that is so."""
         self._counts.add("jobs_refused", reason)
         service = job.queue.service
         self._note(
@@ -178,7 +180,8 @@
             cores=round(self.fleet.measure_capacity(service, self._now), 1),
             waiting=self._get_waiting(job).count,
         )
-        result = JobResult(job.spec.job, JobEnd.REFUSED, reason, False, COME_BACK)
+        end = JobEnd.GIVEN_UP if job.ran else JobEnd.REFUSED
+        result = JobResult(job.spec.job, end, reason, job.ran, COME_BACK)
         for caller in job.callers:
             self._out(Answer(caller, result))
 
@@ -240,7 +243,9 @@
         """Forget an ended job once nothing of it can run any more."""
         if job.ending and not job.list_open() and not job.ended:
             job.ended = True
-            self.jobs.pop(job.spec.job, None)
+            if self.jobs.get(job.spec.job) is job:
+                del self.jobs[job.spec.job]
+                self.on_gone(job.spec.job)
 
     # Placing
 
--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -58,6 +58,8 @@
     Role,
 )
 from godwitbank._internal.models.run_messages import (
+    Acquire,
+    Acquired,
     Alive,
     Claimed,
     EndpointNews,
@@ -65,10 +67,12 @@
     Forward,
     Forwarded,
     Holding,
+    Join,
     Locate,
     Located,
     Probe,
     Pulse,
+    Release,
     Room,
     Rules,
     RunBegun,
@@ -134,6 +138,13 @@
             identity.zone,
         )
         self.dispatcher.hand_on = self.forwarding.try_forward_for_room
+        self.forwarding.find_home = self.handover.find_home
+        self.forwarding.acquire = self.handover.acquire_at_once
+        self.forwarding.resubmit = self.handover.submit_contested
+        self.forwarding.on_gone = self.dispatcher.on_gone
+        self.forwarding.on_left = self.handover.leave_to
+        self.handover.join = self.forwarding.join_at
+        self.handover.has_handed_on = self.forwarding.has_handed_on
         self.intake = Intake(
             self.routes,
             self.dispatcher,
@@ -180,7 +191,11 @@
             Peers: self._hear_peers,
             Took: self.handover.hear_took,
             Yield: self.handover.hear_yield,
-            Yielded: self.handover.hear_yielded,
+            Yielded: self.intake.hear_yielded,
+            Acquire: self.handover.hear_acquire,
+            Acquired: self.handover.hear_acquired,
+            Release: self.handover.hear_release,
+            Join: self.intake.hear_join,
             Locate: self.handover.whereabouts.hear_locate,
             Located: self.handover.whereabouts.hear_located,
             Goodbye: self._hear_goodbye,
@@ -331,12 +346,13 @@
         if view is not None:
             self.dispatcher.lose_view(view)
             return
-        self.intake.drop_stream(event.stream)
         self.handover.whereabouts.drop_stream(event.stream)
         if self.links.find(link.hello.incarnation) is None:
             self.handover.lose_peer(link)
             self._count_entries()
             self.dispatcher.admission.forget(link.hello.incarnation)
+        self.intake.drop_stream(event.stream)
+        self.handover.drop_stream(event.stream)
 
     def _wake(self) -> None:
         """Begin anew after this process has stood still for longer than others wait."""
@@ -405,7 +421,7 @@
 
     def _hear_pulse(self, link: Link, pulse: Pulse) -> None:
         link.lag = pulse.lag
-        link.hear_takings(pulse.clock, self._now)
+        link.hear_clock(pulse.clock, self._now)
         self.dispatcher.admission.hear(link.hello.incarnation, pulse.backlog)
 
     def _hear_goodbye(self, link: Link, message: Goodbye) -> None:
@@ -499,7 +515,7 @@
         serves = self.ready and self.dispatcher.fleet.has_open
         lag = self.pressure.mean if serves else math.inf
         pulse = Pulse(self.dispatcher.measure_backlog(), 1.0, self._now, lag)
-        self.handover.tell_taken()
+        self.handover.tell_peers()
         for link in peers:
             self._send(link.stream, pulse)
 
@@ -526,6 +542,7 @@
         elif self._now >= self._stopped_at + UNREADY_SECONDS:
             self._quiet = not self.intake.busy
         if self._quiet:
+            self.handover.leave()
             for link in self.links.list_peers():
                 # Nothing of this entry's jobs is left; its end is no reason to
                 # look for any.
--- a/src/godwitbank/_internal/core/runs/forwarding.py
+++ b/src/godwitbank/_internal/core/runs/forwarding.py
@@ -22,7 +22,12 @@
 from godwitbank._internal.core.runs.links import Link, Links
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.jobs import JobEnd, JobResult, JobSpec
-from godwitbank._internal.models.run_messages import Forward, Forwarded, Withdraw
+from godwitbank._internal.models.run_messages import (
+    Forward,
+    Forwarded,
+    Join,
+    Withdraw,
+)
 
 FORWARD_LAG = 0.01
 """Seconds of lateness from which new jobs are handed on; a third of that at which they
@@ -46,11 +51,33 @@
 
 
 class Handed(NamedTuple):
-    """A job that another entry serves for callers here."""
+    """A job that another entry serves for callers here.
+
+    :param server: incarnation of the other entry.
+    :param acquired: whether this entry was the one that might start it.
+    :param joined: the job, if it was at the other entry already; it can be served here
+        if that one hasn't it any more.
+    """
 
     callers: list[int]
     stream: int
+    server: str
     expires_at: float
+    acquired: bool = False
+    joined: Job | None = None
+
+
+class Wanted(NamedTuple):
+    """A job to be served by another entry.
+
+    :param patience: seconds its callers wait.
+    :param acquired: whether this entry might start it; its right goes along.
+    """
+
+    spec: JobSpec
+    callers: list[int]
+    patience: float
+    acquired: bool
 
 
 class Forwarding:
@@ -72,6 +99,16 @@
         self._rng = rng
         self._zone = zone
         self._handed: dict[str, Handed] = {}
+        self.resubmit: Callable[[Job], None] = lambda job: None
+        """Starts a job here that another entry was to serve."""
+        self.find_home: Callable[[str], Link | None] = lambda job: None
+        """Finds the entry that decides about a job, if it is another one."""
+        self.acquire: Callable[[str], bool] = lambda job: False
+        """Tells whether this entry may start a job, where it decides about that."""
+        self.on_gone: Callable[[str], None] = lambda job: None
+        """Told of each job that was handed on with the right to start it, and ended."""
+        self.on_left: Callable[[str, str], None] = lambda job, server: None
+        """Told of each such job that another entry may still run, and of that one."""
         self._now = 0.0
         self._out: Callable[[RunAction], None] = lambda action: None
 
@@ -89,6 +126,11 @@
         """Tell whether another entry serves a job for this one."""
         return job in self._handed
 
+    def has_handed_on(self, job: str) -> bool:
+        """Tell whether a job that this entry might start was handed on."""
+        handed = self._handed.get(job)
+        return handed is not None and handed.acquired
+
     @property
     def sheds(self) -> bool:
         """Whether requests are refused before they are read."""
@@ -98,18 +140,35 @@
 
     def join(self, event: JobSubmitted) -> bool:
         """Let a caller wait for a job that was handed on already, if it was."""
-        handed = self._handed.get(event.spec.job)
-        if handed is not None:
-            handed.callers.append(event.caller)
-        return handed is not None
+        known = event.spec.job in self._handed
+        if known:
+            self.add_caller(event.spec.job, event.caller)
+        return known
+
+    def can_join(self, job: str, stream: int) -> bool:
+        """Tell whether an entry's caller may wait for a job that was handed on.
+
+        :param stream: that entry's; not the one that the job was handed to.
+        """
+        return job in self._handed and self._handed[job].stream != stream
+
+    def add_caller(self, job: str, caller: int) -> None:
+        """Let a caller wait for a job that was handed on."""
+        self._handed[job].callers.append(caller)
 
     def try_forward(self, event: JobSubmitted) -> bool:
         """Hand a job on, if this entry is late and another one is not."""
         if self._pressure.lag < FORWARD_LAG:
             return False
-        link = self._choose(list(self._list_spare()))
+        spare = list(self._list_spare())
+        link = self.find_home(event.spec.job)
+        acquired = False
+        if link is None or link not in spare:
+            link = self._choose(spare)
+            acquired = link is not None and self.acquire(event.spec.job)
         if link is not None:
-            self._hand(event.spec, [event.caller], event.patience, link, "processor")
+            wanted = Wanted(event.spec, [event.caller], event.patience, acquired)
+            self._hand(wanted, link, "processor")
         return link is not None
 
     def try_forward_for_room(self, job: Job) -> bool:
@@ -129,16 +188,18 @@
         link = self._choose(idle)
         if link is not None:
             patience = job.deadline - self._now
-            self._hand(job.spec, job.callers, patience, link, "room")
+            wanted = Wanted(job.spec, job.callers, patience, True)
+            self._hand(wanted, link, "room")
         return link is not None
 
-    def _hand(
-        self, spec: JobSpec, callers: list[int], patience: float, link: Link, why: str
-    ) -> None:
+    def _hand(self, wanted: Wanted, link: Link, why: str) -> None:
+        spec, callers, patience, acquired = wanted
         expires_at = self._now + patience + RESULT_SECONDS
-        self._handed[spec.job] = Handed(list(callers), link.stream, expires_at)
+        server = link.hello.incarnation
+        handed = Handed(list(callers), link.stream, server, expires_at, acquired)
+        self._handed[spec.job] = handed
         steps = [list(step) for step in spec.steps]
-        message = Forward(spec.job, spec.queue, spec.payload, steps, patience)
+        message = Forward(spec.job, spec.queue, spec.payload, steps, patience, acquired)
         self._out(Send(link.stream, message))
         self._counts.add("jobs_forwarded", why)
         lag = round(self._pressure.lag, 3)
@@ -159,6 +220,26 @@
             if fresh and link.lag < SPARE_LAG:
                 yield link
 
+    def join_at(self, job: Job, link: Link) -> None:
+        """Let the callers of a job wait for it at an entry that has it."""
+        name = job.spec.job
+        patience = job.deadline - self._now
+        expires_at = job.deadline + RESULT_SECONDS
+        server = link.hello.incarnation
+        handed = Handed(job.callers, link.stream, server, expires_at, joined=job)
+        self._handed[name] = handed
+        self._out(Send(link.stream, Join(name, patience)))
+        self._counts.add("jobs_forwarded", "joined")
+        fields: dict[str, object] = {"entry": link.hello.process, "reason": "joined"}
+        self._out(Note("job_forwarded", name, fields))
+
+    def hear_yielded(self, stream: int, job: str) -> None:
+        """Serve a job here that its callers were to wait for at another entry."""
+        handed = self._handed.get(job)
+        if handed is not None and handed.joined and handed.stream == stream:
+            del self._handed[job]
+            self.resubmit(handed.joined)
+
     def hear_result(self, link: Link, message: Forwarded) -> None:
         """Tell the callers of a job its result."""
         handed = self._handed.get(message.job)
@@ -167,6 +248,8 @@
         retry_after = message.retry_after if message.retry_after >= 0 else None
         end = JobEnd(message.end)
         result = JobResult(message.job, end, message.reason, message.ran, retry_after)
+        if handed.acquired:
+            self.on_gone(message.job)
         self._answer(result)
 
     def _answer(self, result: JobResult) -> None:
@@ -179,6 +262,9 @@
 
     def _give_up(self, job: str, reason: str) -> None:
         # Whether it ran can't be known here any more.
+        handed = self._handed[job]
+        if handed.acquired:
+            self.on_left(job, handed.server)
         result = JobResult(job, JobEnd.GIVEN_UP, reason, True, COME_BACK)
         self._answer(result)
 
@@ -200,7 +286,12 @@
     def lose_stream(self, stream: int) -> None:
         """Answer callers whose job was handed on by a stream that ended."""
         for job, handed in list(self._handed.items()):
-            if handed.stream == stream:
+            if handed.stream != stream:
+                continue
+            if handed.joined:
+                del self._handed[job]
+                self.resubmit(handed.joined)
+            else:
                 self._give_up(job, "cut_off")
 
     def give_up_expired(self) -> None:
--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -1,12 +1,14 @@
 """Jobs that go from one entry to another, and never run twice by it.
 
-A caller whose connection broke submits the same job again, to any entry. Entries
-tell each other what they take; the one that gets a job another has asks it to
-stop first, and where entries can't reach each other the agents decide.
+The same job may be submitted at several entries, at once or one after the other. The
+job's home lets one of them start it; the others' callers wait for that one's result.
+Where it can't be reached it is asked to stop first, and where entries can't reach each
+other the agents decide.
 """
 
 from collections.abc import Callable
 from random import Random
+from typing import NamedTuple
 
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.events import Send
@@ -14,29 +16,46 @@
 from godwitbank._internal.core.runs.dispatcher import Dispatcher
 from godwitbank._internal.core.runs.events import Note, RunAction
 from godwitbank._internal.core.runs.fleet import AgentView
-from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
+from godwitbank._internal.core.runs.homes import HERE, Homes, Request
 from godwitbank._internal.core.runs.links import SILENCE, Link, Links
 from godwitbank._internal.core.runs.ownership import (
     CLAIM_SECONDS,
-    REMEMBER_SECONDS,
     YIELD_SECONDS,
+    Taking,
     Takings,
 )
+from godwitbank._internal.core.runs.readiness import Readiness
 from godwitbank._internal.core.runs.tellings import Tellings
-from godwitbank._internal.core.runs.whereabouts import UNREACHED, Whereabouts
+from godwitbank._internal.core.runs.whereabouts import Whereabouts
 from godwitbank._internal.core.runs.work import Job
+from godwitbank._internal.core.runs.yields import Yields
 from godwitbank._internal.models.messages import Message
 from godwitbank._internal.models.run_messages import (
+    Acquire,
+    Acquired,
     Claim,
     Claimed,
+    Release,
     Took,
     Yield,
     Yielded,
 )
 
-GRACE = LAPSE_SECONDS
-"""Seconds for which an entry that has started, or stood still, waits for the others it
-knows. What those have ordered that it doesn't hear of by then is over."""
+ASK_AGAIN = -1
+"""Stream of a job whose home wasn't found, and is looked for again with the next look
+at what waits."""
+
+
+class Asked(NamedTuple):
+    """A job whose home was asked whether it may start here.
+
+    :param stream: on which it was asked.
+    :param number: of the request.
+    """
+
+    job: Job
+    stream: int
+    number: int
 
 
 class Handover:
@@ -54,18 +73,29 @@
         self._dispatcher = dispatcher
         self._links = links
         self._counts = counts
-        self._awake_since = now
-        self._informed = False
         self._takings = Takings()
         self._delayed: dict[str, Delayed] = {}
         self._unsorted: dict[str, Job] = {}
+        self._asked: dict[str, Asked] = {}
         self._entries_per_agent = entries_per_agent
         dispatcher.is_unsure = self.is_unsure
+        dispatcher.on_gone = self._release
         self.whereabouts = Whereabouts(links, self._takings, rng)
-        self._relayed: dict[str, list[int]] = {}
-        self._heard: set[str] = set()
+        self.homes = Homes(
+            links,
+            self._takings,
+            self.whereabouts,
+            lambda: self._sees_all_agents,
+            lambda: self.informed,
+            self._find_holder,
+        )
+        self.join: Callable[[Job, Link], None] = lambda job, link: None
+        """Lets the callers of a job wait for it at another entry."""
+        self.has_handed_on: Callable[[str], bool] = lambda job: False
+        """Tells whether a job that this entry may start was handed on to another."""
+        self._readiness = Readiness(links, self._takings, self.whereabouts, now)
         self._tellings = Tellings(links)
-        self._yielding: dict[str, list[int]] = {}
+        self._yields = Yields()
         self._now = now
         self._out: Callable[[RunAction], None] = lambda action: None
 
@@ -74,7 +104,10 @@
         self._now = now
         self._out = out
         self.whereabouts.begin(now, out)
+        self.homes.begin(now, out)
         self._tellings.begin(out)
+        self._readiness.begin(now)
+        self._yields.begin(out)
 
     def _note(self, event: str, request: str, **fields: object) -> None:
         self._out(Note(event, request, fields))
@@ -85,53 +118,30 @@
     @property
     def busy(self) -> bool:
         """Whether a job waits here."""
-        return bool(self._delayed or self._unsorted)
+        return bool(self._delayed or self._unsorted or self._asked)
 
-    def has(self, job: str) -> bool:
-        """Tell whether a job waits here."""
-        return job in self._delayed or job in self._unsorted
+    def find(self, name: str) -> Job | None:
+        """Find a job that waits here for its callers."""
+        if name in self._asked:
+            return self._asked[name].job
+        delayed = self._delayed.get(name)
+        if delayed is not None:
+            return None if delayed.abandoned else delayed.job
+        return self._unsorted.get(name)
 
     @property
     def informed(self) -> bool:
-        """Whether it is known what other entries have taken.
-
-        Those that can't be reached for ``GRACE`` are gone for their agents, too,
-        which have stopped their runs by then.
-        """
-        if not self._informed:
-            linked = {
-                link.hello.address
-                for link in self._links.list_peers()
-                if link.hello.incarnation in self._heard
-            }
-            known = set(self._links.addresses.list_others())
-            linked_all = bool(known) and known <= linked
-            self._informed = linked_all or self._now - self._awake_since > GRACE
-            if self._informed and known - linked:
-                # They may be alive and cut off from here alone.
-                self._lose_unreached(sorted(known - linked))
-        return self._informed
+        """Whether it is known what other entries have taken."""
+        return self._readiness.informed
 
     def wake(self) -> None:
-        """Begin anew after this entry stood still: others may have taken its jobs.
-
-        An entry that went on with its jobs at once started tasks that another one had
-        taken over, before it had a stream to that one again.
-        """
-        self._informed = False
-        self._awake_since = self._now
-        self._heard.clear()
+        """Begin anew after this entry stood still."""
+        self._readiness.wake()
 
     @property
     def _sees_all_agents(self) -> bool:
         return self._links.addresses.count < self._entries_per_agent
 
-    def _lose_unreached(self, addresses: list[str]) -> None:
-        for address in addresses:
-            unknown = UNREACHED + address
-            self._takings.lose(unknown, self._awake_since)
-            self.whereabouts.ask(address, unknown)
-
     def submit(self, job: Job) -> None:
         """Start a job, or let it wait until nothing of it runs elsewhere."""
         if self.informed:
@@ -141,70 +151,95 @@
             self._hold(job)
 
     def _hold(self, job: Job) -> None:
-        # Others are told of it, too: two entries that wait for the same to be over
-        # would start it at the same moment.
         name = job.spec.job
         if name not in self._unsorted:
-            known_at = max(
-                self._awake_since + GRACE, self._takings.find_over(job.arrival)
-            )
+            known_at = max(self._readiness.informed_at, self._takings.find_over())
             self._note_delay(name, "uninformed", known_at)
-            self._tellings.tell(name, self._now)
         self._unsorted[name] = job
 
     def lose_caller(self, caller: int) -> None:
         """Forget the jobs that only a caller who is gone waits for."""
-        for waiting in (self._unsorted, self._delayed):
-            for name in [each for each in waiting if self._is_of(each, caller)]:
-                del waiting[name]
-
-    def _is_of(self, name: str, caller: int) -> bool:
-        delayed = self._delayed.get(name)
-        job = delayed.job if delayed else self._unsorted.get(name)
-        return job is not None and caller in job.callers
+        for name, job in self._list_waiting():
+            if caller not in job.callers:
+                continue
+            job.callers.remove(caller)
+            if not job.callers:
+                for waiting in (self._unsorted, self._delayed, self._asked):
+                    waiting.pop(name, None)
+                self._release(name)
+
+    def _list_waiting(self) -> list[tuple[str, Job]]:
+        waiting = list(self._unsorted.items())
+        waiting += [(name, asked.job) for name, asked in self._asked.items()]
+        waiting += [
+            (name, delayed.job)
+            for name, delayed in self._delayed.items()
+            if not delayed.abandoned
+        ]
+        return waiting
 
     def give_up_expired(self) -> None:
         """Answer callers whose time is over while their jobs wait here.
 
         Whether another entry runs them isn't known.
         """
-        for name, job in list(self._unsorted.items()):
+        for name, job in self._list_waiting():
             if job.deadline <= self._now:
-                del self._unsorted[name]
+                self._unsorted.pop(name, None)
+                self._asked.pop(name, None)
+                if name in self._delayed:
+                    self._delayed[name].abandoned = True
+                self._release(name)
                 self._give_up_unknown(job)
-        for delayed in self._delayed.values():
-            if not delayed.abandoned and delayed.job.deadline <= self._now:
-                delayed.abandoned = True
-                self._give_up_unknown(delayed.job)
 
-    def _give_up_unknown(self, job: Job) -> None:
+    def _give_up_unknown(self, job: Job, reason: str = "deadline") -> None:
         job.ran = True
-        self._dispatcher.give_up(job, "deadline")
+        self._dispatcher.give_up(job, reason)
 
     def refuse_all(self, reason: str) -> None:
         """Refuse every job that waits here."""
-        jobs = [*self._unsorted.values()]
-        jobs += [each.job for each in self._delayed.values() if not each.abandoned]
-        for job in jobs:
+        for _, job in self._list_waiting():
             self._dispatcher.refuse(job, reason)
+            self._release(job.spec.job)
         self._unsorted.clear()
+        self._asked.clear()
         self._delayed.clear()
 
     def lose_peer(self, link: Link) -> None:
         """Note that a peer's last stream ended."""
         owner = link.hello.incarnation
-        self._heard.discard(owner)
+        self._readiness.lose(owner)
         # It may have proved its life to others later than to this entry, by as much as
         # may lie between two proofs.
         lived_at = min(self._now, link.heard_at + SILENCE)
         # Nothing is known of what others did while this entry stood still.
-        lived_at = max(lived_at, self._awake_since)
+        lived_at = max(lived_at, self._readiness.awake_since)
         self.whereabouts.tell_lost(link, lived_at)
         if not link.leaving:
-            self._takings.lose(owner, lived_at, link.told_at)
+            self._takings.lose(owner, link.hello.address, lived_at)
             if not self._links.list_peers():
                 self.give_up_unsure("cut_off")
             self.whereabouts.ask(link.hello.address, owner)
+        # Whoever is asked in its place must know what it had let others start.
+        self._tellings.tell_rest(self._now)
+
+    def drop_stream(self, stream: int) -> None:
+        """Ask others what was asked on a stream that has ended."""
+        self.homes.drop_stream(stream)
+        self._ask_again(stream)
+
+    def _ask_again(self, stream: int) -> None:
+        for name, asked in list(self._asked.items()):
+            if asked.stream == stream:
+                del self._asked[name]
+                self.submit(asked.job)
+
+    def leave(self) -> None:
+        """Tell others what this entry has decided, as it decides nothing any more."""
+        self.homes.leaving = True
+        granted = self.homes.grants.list_by_owner()
+        for link in self._links.list_peers():
+            self._tellings.tell_grants(link.stream, granted, self._now)
 
     def give_up_unsure(self, reason: str) -> None:
         """Give up the jobs that others may have taken unheard.
@@ -234,34 +269,142 @@
         # is its own former process, whose callers come to the same address again.
         self._tellings.tell_all(link.stream, self._list_taken(), self._now)
         self._tellings.pass_on(link.stream, self._takings, self._now)
+        granted = self.homes.grants.list_by_owner()
+        self._tellings.tell_grants(link.stream, granted, self._now)
 
     def check(self) -> None:
         """Act on what has become due."""
-        self._sort_in_all()
         self._answer_yields()
+        self._sort_in_all()
+        self.homes.check()
 
     def _sort_in(self, job: Job) -> None:
-        spec = job.spec
-        owner = self._takings.find(spec.job)
-        if owner:
+        name = job.spec.job
+        owner = self._takings.find(name)
+        if self._is_stopping(name):
+            self._unsorted[name] = job
+        elif owner not in ("", self._links.own_incarnation):
+            self._reach_owner(job, owner)
+        else:
+            self._acquire(job)
+
+    def _is_stopping(self, name: str) -> bool:
+        """Tell whether an earlier submission of a job is being stopped here."""
+        return name in self._dispatcher.jobs or name in self._delayed
+
+    def _acquire(self, job: Job) -> None:
+        """Ask the job's home whether it may start here."""
+        name = job.spec.job
+        route = self.homes.find_route(name)
+        if route is None:
+            self._hold(job)
+        elif route == HERE:
+            holder = self.homes.decide(name, self._links.own_incarnation)
+            self._hear_holder(job, holder)
+        else:
+            number = self.homes.ask(name, route)
+            self._asked[name] = Asked(job, route.stream, number)
+
+    def find_home(self, name: str) -> Link | None:
+        """Find the entry that decides about a job, if it is another one."""
+        route = self.homes.find_route(name)
+        return self._links.get(route.stream) if route and route.stream else None
+
+    def acquire_at_once(self, name: str) -> bool:
+        """Tell whether this entry decides about a job, and may start it."""
+        if not self.informed or self._takings.find(name) or self._is_blind():
+            return False
+        own = self._links.own_incarnation
+        is_home = self.homes.find_route(name) == HERE
+        return is_home and self.homes.decide(name, own) == own
+
+    def _hear_holder(self, job: Job, holder: str | None) -> None:
+        if holder is None:
+            self._unsorted[job.spec.job] = job
+        elif holder == self._links.own_incarnation:
+            self.start(job)
+        else:
+            self._reach_owner(job, holder)
+
+    def _reach_owner(self, job: Job, owner: str) -> None:
+        """Let a job's callers wait at the entry that has it, or stop that one."""
+        link = self._links.find(owner)
+        if link is not None and self._links.is_fresh(link, self._now):
+            self.join(job, link)
+        else:
             self._ask_owner(job, owner)
-            return
-        if not self._is_blind():
-            self._take(job)
-        elif self._sees_all_agents:
+
+    def start(self, job: Job) -> None:
+        """Start a job that this entry may start."""
+        if job.contested or self._may_run_unheard(job):
             self._claim(job)
-        elif not self._takings.concern(job.arrival):
+        else:
             self._take(job)
-        elif self._must_wait(job):
-            self._hold(job)
+
+    def _may_run_unheard(self, job: Job) -> bool:
+        if not self._is_blind():
+            return False
+        return self._sees_all_agents or self.homes.was_lost(job.spec.job)
+
+    def hear_acquire(self, link: Link, message: Acquire) -> None:
+        """Decide whether another entry may start a job, or pass the question on."""
+        job, owner, number, acting, hops = message
+        request = Request(job, owner, number, link.stream, acting, hops)
+        self.homes.hear_request(request)
+
+    def hear_acquired(self, link: Link, message: Acquired) -> None:
+        """Take the answer of a job's home."""
+        self.homes.hear_answer(link.stream, message)
+        asked = self._asked.get(message.job)
+        own = message.asker == self._links.own_incarnation
+        if not own or asked is None or asked.number != message.number:
+            return
+        if not message.owner:
+            self._asked[message.job] = asked._replace(stream=ASK_AGAIN)
         else:
-            self._claim(job)
+            del self._asked[message.job]
+            self._hear_holder(asked.job, message.owner)
+
+    def hear_release(self, link: Link, message: Release) -> None:
+        """Note that nothing of some jobs is left at another entry."""
+        del link
+        self.homes.hear_release(message)
+
+    def _is_here(self, name: str) -> bool:
+        delayed = self._delayed.get(name)
+        claiming = delayed is not None and delayed.claiming and not delayed.abandoned
+        return name in self._dispatcher.jobs or claiming or self.has_handed_on(name)
+
+    def _find_holder(self, name: str) -> str | None:
+        """Find the entry that has a job; ``None`` while its runs are being stopped."""
+        own = self._links.own_incarnation
+        job = self._dispatcher.jobs.get(name)
+        if job is not None and job.ending:
+            return None
+        if self._is_here(name):
+            return own
+        owner = self.homes.grants.find(name) or self._takings.find(name)
+        if owner in ("", own) or self._is_over(owner):
+            return ""
+        return owner
+
+    def _is_over(self, owner: str) -> bool:
+        """Tell whether nothing runs by the orders of an entry any more."""
+        if self._links.find(owner) is not None or self.whereabouts.reaches(owner):
+            return False
+        return self._takings.find_lapse(owner, self._now) <= self._now
+
+    def _release(self, name: str) -> None:
+        self._tellings.forget(name)
+        self.homes.release(name)
 
     def _must_wait(self, job: Job) -> bool:
         """Tell whether a lost entry may run a job that can't be asked for."""
+        if self._is_stopping(job.spec.job):
+            return True
         if self._sees_all_agents or self._takings.find(job.spec.job):
             return False
-        return self._is_blind() and self._now < self._takings.find_over(job.arrival)
+        return self._is_blind() and self.homes.find_route(job.spec.job) is None
 
     def _sort_in_all(self) -> None:
         if not self._unsorted or not self.informed:
@@ -283,8 +426,9 @@
         if not views:
             self._take(job)
             return
-        over_at = self._takings.find_over(job.arrival)
-        start_at = max(self._now + CLAIM_SECONDS, over_at)
+        start_at = self._now + CLAIM_SECONDS
+        if self.homes.was_lost(name):
+            start_at = max(start_at, self._takings.find_over())
         delayed = Delayed(job, self._now, start_at)
         delayed.claim(views)
         self._delayed[name] = delayed
@@ -296,7 +440,13 @@
     def hear_claimed(self, view: AgentView, message: Claimed) -> None:
         """Count off an agent that runs nothing of a job by others' orders."""
         delayed = self._delayed.get(message.job)
-        if delayed is None:
+        if delayed is None or not delayed.claiming:
+            return
+        if message.lost:
+            del self._delayed[message.job]
+            self._release(message.job)
+            if not delayed.abandoned:
+                self._give_up_unknown(delayed.job, "claimed_elsewhere")
             return
         if delayed.hear_claimed(view.stream, message.over) and self._knows_agents:
             self._start_now(delayed)
@@ -304,17 +454,21 @@
     @property
     def _knows_agents(self) -> bool:
         """Whether no agent can run a job that isn't asked for it."""
-        young = self._now - self._awake_since < REMEMBER_SECONDS
+        young = self._readiness.is_young
         return not young and not self._dispatcher.fleet.misses(self._now)
 
     def _take(self, job: Job) -> None:
+        name = job.spec.job
         self._dispatcher.submit(job)
-        if job.spec.job in self._dispatcher.jobs:
-            self._tellings.tell(job.spec.job, self._now)
+        if name in self._dispatcher.jobs:
+            self._tellings.tell(name, self._now)
+        elif not self.has_handed_on(name):
+            self._release(name)
 
-    def tell_taken(self) -> None:
-        """Tell other entries what was taken since the last time."""
+    def tell_peers(self) -> None:
+        """Tell other entries what was taken and released since the last time."""
         self._tellings.tell_rest(self._now)
+        self.homes.tell_released()
 
     def _note_delay(self, name: str, reason: str, until: float) -> None:
         self._counts.add("jobs_delayed", reason)
@@ -332,24 +486,30 @@
         reason = "owner_gone" if link is None else "asked"
         self._note_delay(name, reason, start_at)
         self._delayed[name] = Delayed(job, self._now, start_at)
-        self._tellings.tell(name, self._now)
 
     def hear_yielded(self, link: Link, message: Yielded) -> None:
         """Another entry has stopped a job."""
-        del link
-        for stream in self._relayed.pop(message.job, []):
-            self._send(stream, Yielded(message.job))
-        self._takings.forget(message.job)
-        delayed = self._delayed.get(message.job)
-        if delayed is not None and not delayed.claiming:
-            self._claim_next(delayed)
+        name = message.job
+        self._yields.answer_relayed(name)
+        delayed = self._delayed.get(name)
+        awaited = delayed is not None and not delayed.claiming
+        if awaited or self._takings.find(name) == link.hello.incarnation:
+            self._takings.forget(name)
+        if delayed is not None and awaited:
+            self._acquire_next(delayed)
 
-    def _claim_next(self, delayed: Delayed) -> None:
-        # The owner before may have claimed the job at agents; they take no runs
-        # of it from this entry unless it claims it, too.
+    def _acquire_next(self, delayed: Delayed) -> None:
         del self._delayed[delayed.job.spec.job]
         if not delayed.abandoned:
-            self._claim(delayed.job)
+            self.submit_contested(delayed.job)
+
+    def submit_contested(self, job: Job) -> None:
+        """Start a job that another entry has had, once its home lets it."""
+        # That one may have claimed the job at agents; they take no runs of it from
+        # this entry unless it claims it, too.
+        job.contested = True
+        job.ran = True
+        self.submit(job)
 
     def _start_now(self, delayed: Delayed) -> None:
         del self._delayed[delayed.job.spec.job]
@@ -358,6 +518,7 @@
 
     def start_delayed(self) -> None:
         """Start the jobs that have waited long enough."""
+        self._ask_again(ASK_AGAIN)
         for name, delayed in list(self._delayed.items()):
             if delayed.start_at > self._now:
                 continue
@@ -380,7 +541,7 @@
                 delayed.start_at = lapse
                 continue
             self._takings.forget(name)
-            self._claim_next(delayed)
+            self._acquire_next(delayed)
 
     def _is_claimed(self, delayed: Delayed) -> bool:
         views = self._dispatcher.fleet.views
@@ -389,46 +550,71 @@
 
     def hear_yield(self, link: Link, message: Yield) -> None:
         """Stop a job whose caller came to another entry, or pass that on."""
-        if message.owner:
+        if message.owner not in ("", self._links.own_incarnation):
             owner = self._links.find(message.owner)
             if owner is not None:
-                self._relayed.setdefault(message.job, []).append(link.stream)
-                self._send(owner.stream, Yield(message.job, ""))
+                self._yields.relay(message, link.stream, owner.stream)
             return
         job = self._dispatcher.jobs.get(message.job)
-        self._yielding.setdefault(message.job, []).append(link.stream)
+        self._yields.add(message.job, link.stream)
         self._abandon(message.job)
         if job is not None:
+            if not message.owner:
+                self._join_taker(job, link)
             self._dispatcher.give_up(job, "submitted_elsewhere")
 
+    def _join_taker(self, job: Job, link: Link) -> None:
+        """Let the callers of a job that goes to another entry wait there."""
+        if job.callers and not job.ending:
+            waiting = Job(job.spec, job.queue, 0, self._now, job.deadline - self._now)
+            waiting.callers, job.callers = job.callers, []
+            self.join(waiting, link)
+
+    def leave_to(self, name: str, server: str) -> None:
+        """Note that a job which this entry had handed on may still run there."""
+        self._takings.note(name, 0.0, server, self._now)
+        self.homes.grants.move(name, server, self._now)
+        home = self.find_home(name)
+        if home is not None:
+            taking = Taking(server, self._now)
+            self._tellings.remind(home.stream, name, taking, self._now)
+
+    def hear_join(self, link: Link, name: str) -> None:
+        """Tell an entry whose caller wants to wait here that the job isn't here.
+
+        It is told so once nothing of it runs here any more.
+        """
+        known = self._takings.get(name)
+        if known is not None and known.incarnation != link.hello.incarnation:
+            self._tellings.remind(link.stream, name, known, self._now)
+        self._yields.add(name, link.stream)
+
     def _abandon(self, name: str) -> None:
-        held = self._unsorted.pop(name, None)
-        if held is not None:
-            self._dispatcher.refuse(held, "submitted_elsewhere")
         delayed = self._delayed.get(name)
         if delayed is not None and not delayed.abandoned:
             self._dispatcher.refuse(delayed.job, "submitted_elsewhere")
             delayed.abandoned = True
 
     def _answer_yields(self) -> None:
-        for name, streams in list(self._yielding.items()):
-            if name in self._dispatcher.jobs or name in self._delayed:
+        for name in self._yields.list_jobs():
+            if self._is_stopping(name):
                 continue
-            del self._yielding[name]
-            for stream in streams:
-                self._send(stream, Yielded(name))
+            if self.find(name) is None:
+                self._release(name)
+                self.homes.tell_released()
+            self._yields.answer(name)
 
     def _list_taken(self) -> list[Job]:
+        """List the jobs that may have runs here; others wait until they may start."""
         taken = [*self._dispatcher.jobs.values()]
-        taken += [delayed.job for delayed in self._delayed.values()]
-        taken += self._unsorted.values()
+        taken += [each.job for each in self._delayed.values() if each.claiming]
         return taken
 
     def hear_took(self, link: Link, message: Took) -> None:
         """Note what another entry has taken."""
         owner = message.owner or link.hello.incarnation
         if not message.owner:
-            self._heard.add(owner)
+            self._readiness.hear(owner)
             self._takings.regain(owner)
             self.whereabouts.pass_on(link, message)
         if owner == self._links.own_incarnation:
@@ -441,20 +627,22 @@
                 # It may not reach the one that had the job before.
                 self._tellings.remind(link.stream, name, known, self._now)
             self._takings.note(name, age, owner, self._now)
-            self._give_way(name, age)
+            self.homes.grants.move(name, self._takings.find(name), self._now)
+            self._give_way(name, age, link if not message.owner else None)
             self._ask_earlier(name, age, owner)
 
-    def _give_way(self, name: str, age: float) -> None:
+    def _give_way(self, name: str, age: float, taker: Link | None) -> None:
         """Give up a job that another entry took later, for lost here.
 
         While this entry was cut off or suspended, the caller went to the other one.
+
+        :param taker: the other entry, if it is reached.
         """
         job = self._dispatcher.jobs.get(name)
         if job is not None and self._now - job.arrival > age:
+            if taker is not None:
+                self._join_taker(job, taker)
             self._dispatcher.give_up(job, "submitted_elsewhere")
-        held = self._unsorted.get(name)
-        if held is not None and self._now - held.arrival > age:
-            self._abandon(name)
 
     def _ask_earlier(self, name: str, age: float, owner: str) -> None:
         """Ask an entry that had a job before this one, which claims it unknowing."""
--- a/src/godwitbank/_internal/core/runs/intake.py
+++ b/src/godwitbank/_internal/core/runs/intake.py
@@ -21,7 +21,12 @@
 from godwitbank._internal.core.runs.routes import RouteTable
 from godwitbank._internal.core.runs.work import Job
 from godwitbank._internal.models.jobs import JobEnd, JobResult
-from godwitbank._internal.models.run_messages import Forward, Withdraw
+from godwitbank._internal.models.run_messages import (
+    Forward,
+    Join,
+    Withdraw,
+    Yielded,
+)
 
 
 class Intake:
@@ -62,8 +67,11 @@
         """Tell whether a job is in flight here, or at another entry for this one."""
         return job in self._dispatcher.jobs or self._forwarding.has(job)
 
-    def submit(self, event: JobSubmitted) -> None:
-        """Take a job, hand it on, or refuse it."""
+    def submit(self, event: JobSubmitted, acquired: bool = False) -> None:
+        """Take a job, hand it on, or refuse it.
+
+        :param acquired: whether this entry may start it already.
+        """
         spec = event.spec
         queue = self._routes.get(spec.queue)
         if queue is None:
@@ -71,9 +79,6 @@
             return
         if self._join(event):
             return
-        if spec.job in self._dispatcher.jobs or self._handover.has(spec.job):
-            self._refuse(event, "stopping_before")
-            return
         adopted = self._adoption.is_adopted(event.caller)
         if not adopted and self._forwarding.try_forward(event):
             return
@@ -83,21 +88,31 @@
             self._refuse(event, "no_processor")
             return
         job = Job(spec, queue, event.caller, self._now, event.patience)
-        self._handover.submit(job)
+        if acquired:
+            self._handover.start(job)
+        else:
+            self._handover.submit(job)
 
     def _join(self, event: JobSubmitted) -> bool:
         """Let a caller whose first connection broke wait for what was taken then."""
-        known = self._dispatcher.jobs.get(event.spec.job)
+        name = event.spec.job
+        if self._forwarding.join(event):
+            return True
+        known = self._find_known(name)
         if known is None:
-            return self._forwarding.join(event)
-        if known.ending:
             return False
         self._counts.add("jobs_joined")
-        self._out(Note("job_joined", event.spec.job, {}))
+        self._out(Note("job_joined", name, {}))
         known.callers.append(event.caller)
-        known.deadline = self._now + event.patience
+        known.deadline = max(known.deadline, self._now + event.patience)
         return True
 
+    def _find_known(self, name: str) -> Job | None:
+        known = self._dispatcher.jobs.get(name)
+        if known is not None and not known.ending:
+            return known
+        return self._handover.find(name)
+
     def _refuse(self, event: JobSubmitted, reason: str) -> None:
         self._counts.add("jobs_refused", reason)
         job = event.spec.job
@@ -126,7 +141,25 @@
 
     def hear_forward(self, link: Link, message: Forward) -> None:
         """Take a job of another entry's caller."""
-        self.submit(self._adoption.adopt(link.stream, message))
+        self.submit(self._adoption.adopt(link.stream, message), message.acquired)
+
+    def hear_join(self, link: Link, message: Join) -> None:
+        """Let a caller of another entry wait for a job, if it is here."""
+        name = message.job
+        known = self._find_known(name)
+        if known is not None:
+            known.callers.append(self._adoption.add_caller(link.stream, name))
+            known.deadline = max(known.deadline, self._now + message.patience)
+        elif self._forwarding.can_join(name, link.stream):
+            caller = self._adoption.add_caller(link.stream, name)
+            self._forwarding.add_caller(name, caller)
+        else:
+            self._handover.hear_join(link, name)
+
+    def hear_yielded(self, link: Link, message: Yielded) -> None:
+        """Go on with a job that another entry doesn't have, or no longer."""
+        self._handover.hear_yielded(link, message)
+        self._forwarding.hear_yielded(link.stream, message.job)
 
     def hear_withdraw(self, link: Link, message: Withdraw) -> None:
         """Give up a job that another entry's caller no longer waits for."""
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -19,8 +19,8 @@
 SILENCE = 0.7
 """Seconds without a frame after which a busy stream counts as dead.
 
-Short against the 1.3 s after which a caller submits again, so that a dead
-entry's runs are stopped before another entry starts them anew.
+Jobs whose home is lost wait for as long as that takes, and a job of a lost entry starts
+anew only after its runs were stopped.
 """
 
 OVERDUE = 0.4
@@ -50,15 +50,14 @@
 
 MAX_PEER_PULSE = 0.4
 """The longest pulse to other entries. With it goes what was taken from callers, which
-must be known before a caller submits again (1.3 s)."""
+must be known before the home of those jobs counts as lost."""
 
 FRESH_PULSES = 1.5
 """Pulses between entries within which one that lives is heard."""
 
 PEER_SILENCE_FACTOR = 3.0
 """Multiple of the pulse between entries without a frame that ends a stream, as
-``SILENCE`` is of ``PULSE``. Below the 1.3 s after which a caller submits again: an
-entry that didn't know of a cut by then would start what runs beyond it."""
+``SILENCE`` is of ``PULSE``."""
 
 MISSED_PULSE = 0.3
 """Seconds without a frame that a busy stream has only if its other end is late or gone:
@@ -80,7 +79,6 @@
         while there is none.
     :ivar proved_at: this end's clock when its other end is known to have lived: frames
         may have been held up. Infinite where nothing depends on it.
-    :ivar told_at: up to when its other end has told what it takes from callers.
     :ivar probed_at: when its other end was asked for a proof of life that hasn't come
         yet; infinite if it wasn't.
     :ivar received: orders to start received on it.
@@ -95,7 +93,6 @@
         "hello",
         "heard_at",
         "proved_at",
-        "told_at",
         "sent_at",
         "busy_since",
         "dialled",
@@ -115,7 +112,6 @@
         self.dialled = dialled
         self.heard_at = now
         self.proved_at = math.inf
-        self.told_at = -math.inf
         self.sent_at = now
         self.busy_since = math.inf
         self.probed_at = math.inf
@@ -156,11 +152,6 @@
             self._lead = lead
             self._lead_at = now
 
-    def hear_takings(self, clock: float, now: float) -> None:
-        """Note by a message's clock up to when its sender has told what it takes."""
-        self.hear_clock(clock, now)
-        self.told_at = max(self.told_at, clock - self._lead)
-
     def read_clock(self, now: float) -> float:
         """Tell what the other's clock shows at least; minus infinity at first."""
         return now + self._lead
@@ -299,6 +290,10 @@
             link.probed_at = now
         return probed
 
+    def get(self, stream: int) -> Link | None:
+        """Find the open stream with a number."""
+        return self._by_stream.get(stream)
+
     def find(self, incarnation: str) -> Link | None:
         """Find the newest stream to a process."""
         same = self._by_incarnation.get(incarnation)
--- a/src/godwitbank/_internal/core/runs/ownership.py
+++ b/src/godwitbank/_internal/core/runs/ownership.py
@@ -13,12 +13,7 @@
 from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
 
 REMEMBER_SECONDS = 12.0
-"""Seconds a taking and a lost peer are remembered; longer than callers wait (10 s)
-and the 1.3 s after which they submit again."""
-
-RESUBMIT_SECONDS = 1.2
-"""Seconds after a broken connection before which no caller submits again (they wait
-1.3 s), less what clocks and links may add."""
+"""Seconds a taking and a lost peer are remembered; longer than callers wait (10 s)."""
 
 YIELD_SECONDS = 0.8
 """Seconds the other entry has to answer; its agents stop runs in some 50 ms."""
@@ -40,12 +35,11 @@
     """A peer that can't be reached, and that nobody is known to reach.
 
     :param lived_at: by when it proved its life for the last time, if it is gone.
-    :param told_at: up to when it has told what it takes.
     :param confirmed: whether others that were asked can't reach it either.
     """
 
+    address: str
     lived_at: float
-    told_at: float
     confirmed: bool
 
     @property
@@ -53,14 +47,6 @@
         """When nothing runs by its orders any more, if it is gone."""
         return self.lived_at + LAPSE_SECONDS
 
-    def concerns(self, arrival: float) -> bool:
-        """Tell whether it may have taken a job unheard that arrived at a time.
-
-        A caller comes again a while after its connection broke, so a job that comes
-        sooner after what was told last can't be one of those.
-        """
-        return arrival >= self.told_at + RESUBMIT_SECONDS
-
 
 class Takings:
     """Jobs taken by peers, newest last."""
@@ -84,17 +70,15 @@
                 break
             del self._jobs[oldest]
 
-    def lose(
-        self, incarnation: str, lived_at: float, told_at: float = -math.inf
-    ) -> None:
+    def lose(self, incarnation: str, address: str, lived_at: float) -> None:
         """Note that a peer's last stream ended."""
-        self._lost[incarnation] = Loss(lived_at, told_at, False)
+        self._lost[incarnation] = Loss(address, lived_at, False)
 
     def lose_again(self, incarnation: str, now: float) -> None:
         """Note that nobody who is known to reach a lost peer is left."""
         settled = self._settled.pop(incarnation, None)
         if settled is not None:
-            self._lost[incarnation] = Loss(now, settled.told_at, False)
+            self._lost[incarnation] = settled._replace(lived_at=now)
 
     def hear_lost(self, incarnation: str, lived_at: float) -> None:
         """Note by when a lost peer may have lived, as another entry knows."""
@@ -160,16 +144,16 @@
         """Whether others can't reach any of the lost peers either."""
         return all(loss.confirmed for loss in self._lost.values())
 
-    def concern(self, arrival: float) -> bool:
-        """Tell whether a lost peer may have a job that came here at a time."""
-        return any(loss.concerns(arrival) for loss in self._lost.values())
+    def list_lost(self, now: float = -math.inf) -> set[str]:
+        """List the addresses of lost peers whose orders may be in force after a time.
+
+        :param now: by default all that were lost lately.
+        """
+        return {loss.address for loss in self._lost.values() if loss.over_at > now}
 
-    def find_over(self, arrival: float) -> float:
-        """Tell when what lost peers may run of a job that came here is over."""
-        return max(
-            (loss.over_at for loss in self._lost.values() if loss.concerns(arrival)),
-            default=-math.inf,
-        )
+    def find_over(self) -> float:
+        """Tell when nothing runs by the orders of lost peers any more."""
+        return max((loss.over_at for loss in self._lost.values()), default=-math.inf)
 
     def get(self, job: str) -> Taking | None:
         """Find who took a job, and when."""
@@ -189,4 +173,4 @@
         for known in (self._lost, self._settled):
             if incarnation in known:
                 return known[incarnation].over_at
-        return self._missed.get(incarnation, now) + LAPSE_SECONDS
+        return self._missed.setdefault(incarnation, now) + LAPSE_SECONDS
--- a/src/godwitbank/_internal/core/runs/runner.py
+++ b/src/godwitbank/_internal/core/runs/runner.py
@@ -234,6 +234,11 @@
 
     def claim(self, link: Link, claim: Claim) -> None:
         """Stop others' runs of a job whose caller came to the sender."""
+        own = link.hello.incarnation
+        earlier = self._claims.find_earlier(claim.job, own, self._now)
+        if earlier and self._links.find(earlier) is not None:
+            self._send(link.stream, Claimed(claim.job, False, True))
+            return
         self._claims.add(claim.job, link.hello.incarnation, link.stream, self._now)
         for held in self._list_others(claim.job):
             self._end_by_order(held, RunEnd.TAKEN_OVER)
@@ -255,10 +260,10 @@
                 # Whoever asks must not take the time of the stop for an agent's end.
                 stream = self._claims.begin_stop(job)
                 if stream is not None:
-                    self._send(stream, Claimed(job, False))
+                    self._send(stream, Claimed(job, False, False))
             elif settled:
                 # Before, what a former agent started may still run.
-                self._send(self._claims.answer(job), Claimed(job, True))
+                self._send(self._claims.answer(job), Claimed(job, True, False))
 
     def hear_start(self, event: StartAnswered) -> None:
         """Take the endpoint's answer to an order to start."""
--- a/src/godwitbank/_internal/core/runs/tellings.py
+++ b/src/godwitbank/_internal/core/runs/tellings.py
@@ -11,7 +11,7 @@
 
 FEW_PEERS = 4
 """Other entries that are told at once of each job taken. Where there are more, they are
-told with the next proof of life: a job comes again 1.3 s later at the earliest, and
+told with the next proof of life: it is asked for only where a job's home is lost, and
 frames for each job to each entry would grow with the product."""
 
 
@@ -36,6 +36,10 @@
         for link in peers:
             self._out(Send(link.stream, Took([name], [0.0], "")))
 
+    def forget(self, name: str) -> None:
+        """Forget to tell of a job of which nothing is left."""
+        self._untold.pop(name, None)
+
     def tell_rest(self, now: float) -> None:
         """Tell of all jobs that were remembered."""
         if not self._untold:
@@ -55,6 +59,14 @@
         """Tell an entry that took a job who had it before: it may not know."""
         self._out(Send(stream, Took([name], [now - known.at], known.incarnation)))
 
+    def tell_grants(
+        self, stream: int, granted: dict[str, dict[str, float]], now: float
+    ) -> None:
+        """Tell an entry which one may start each job that this one decided about."""
+        for owner, jobs in granted.items():
+            ages = [now - at for at in jobs.values()]
+            self._out(Send(stream, Took(list(jobs), ages, owner)))
+
     def pass_on(self, stream: int, takings: Takings, now: float) -> None:
         """Tell a new stream of the jobs of entries that may be gone.
 
--- a/src/godwitbank/_internal/core/runs/whereabouts.py
+++ b/src/godwitbank/_internal/core/runs/whereabouts.py
@@ -102,6 +102,19 @@
         self._send(witness, Yield(job, owner))
         return True
 
+    def reaches(self, owner: str) -> bool:
+        """Tell whether an entry out of reach is reached by another one."""
+        return owner in self._told_by
+
+    def list_ways(self) -> dict[str, int]:
+        """List streams to entries that reach lost ones, by these ones' addresses."""
+        reached = self._witnesses.list_reached()
+        return {
+            address: stream
+            for address, stream in reached.items()
+            if address in self._lost
+        }
+
     def regain(self, link: Link) -> str:
         """Note that an entry is reached; returns what it was known by while lost."""
         self._witnesses.forget(link.hello.address)
--- a/src/godwitbank/_internal/core/runs/witnesses.py
+++ b/src/godwitbank/_internal/core/runs/witnesses.py
@@ -68,6 +68,10 @@
         """Tell whether somebody reaches a lost entry."""
         return address in self._reachable
 
+    def list_reached(self) -> dict[str, int]:
+        """List streams to those that reach lost entries, by these ones' addresses."""
+        return dict(self._reachable)
+
     def forget(self, address: str) -> None:
         """Forget an entry that is reached again."""
         self._open.pop(address, None)
--- a/src/godwitbank/_internal/core/runs/work.py
+++ b/src/godwitbank/_internal/core/runs/work.py
@@ -68,7 +68,10 @@
 
 
 class Job:
-    """A job in flight and who waits for it."""
+    """A job in flight and who waits for it.
+
+    :ivar contested: whether agents must be asked first to stop others' runs of it.
+    """
 
     __slots__ = (
         "spec",
@@ -82,7 +85,7 @@
         "left",
         "ran",
         "ending",
-        "yield_to",
+        "contested",
         "ended",
     )
 
@@ -100,7 +103,7 @@
         self.left: list[int] = [step.width for step in spec.steps]
         self.ran = False
         self.ending = False
-        self.yield_to: list[int] = []
+        self.contested = False
         self.ended = False
 
     def lay_out(self, expected: list[float]) -> None:
--- a/src/godwitbank/_internal/models/messages.py
+++ b/src/godwitbank/_internal/models/messages.py
@@ -9,6 +9,8 @@
 from typing import NamedTuple
 
 from godwitbank._internal.models.run_messages import (
+    Acquire,
+    Acquired,
     Alive,
     Claim,
     Claimed,
@@ -17,10 +19,12 @@
     Forward,
     Forwarded,
     Holding,
+    Join,
     Locate,
     Located,
     Probe,
     Pulse,
+    Release,
     Room,
     Rules,
     RunBegun,
@@ -35,7 +39,7 @@
 )
 from godwitbank._internal.models.tasks import TaskKey
 
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 
 
 class Refusal(StrEnum):
@@ -331,6 +335,10 @@
     | Withdraw
     | Evacuated
     | Probe
+    | Acquire
+    | Acquired
+    | Release
+    | Join
 )
 
 REGISTRY: tuple[type[Message], ...] = (
@@ -377,4 +385,8 @@
     Alive,
     Evacuated,
     Probe,
+    Acquire,
+    Acquired,
+    Release,
+    Join,
 )
--- a/src/godwitbank/_internal/models/run_messages.py
+++ b/src/godwitbank/_internal/models/run_messages.py
@@ -186,8 +186,8 @@
 class Yield(NamedTuple):
     """The caller of a job came to the sender; stop the job where it was.
 
-    :param owner: incarnation of the entry that has it, which the sender can't reach;
-        empty if it is the receiver.
+    :param owner: incarnation of the entry that has it; empty if it is the receiver.
+        One that the sender can't reach is asked through the receiver.
     """
 
     job: str
@@ -228,6 +228,7 @@
 
     :param steps: the job's steps, each as a list of its fields.
     :param patience: seconds its caller waits.
+    :param acquired: whether the sender had acquired the job; its right goes along.
     """
 
     job: str
@@ -235,6 +236,7 @@
     payload: str
     steps: list[list]
     patience: float
+    acquired: bool
 
 
 class Forwarded(NamedTuple):
@@ -270,7 +272,67 @@
 
     :param over: whether nothing of it is left, nor will be; else another message
         follows once that is so.
+    :param lost: whether another entry claimed the job at the same moment, and has it.
     """
 
     job: str
     over: bool
+    lost: bool
+
+
+class Acquire(NamedTuple):
+    """Ask the job's home whether an entry may start it.
+
+    :param owner: incarnation of the entry that wants it.
+    :param number: counts the owner's requests.
+    :param acting: whether the receiver decides in place of the job's home, which has
+        just joined and doesn't know yet who has what.
+    :param hops: how often it may still be passed on.
+    """
+
+    job: str
+    owner: str
+    number: int
+    acting: bool
+    hops: int
+
+
+class Acquired(NamedTuple):
+    """The home's answer.
+
+    :param asker: incarnation of the entry that wanted the job.
+    :param number: of the request.
+    :param owner: incarnation of the entry that has it; the asker's if it may start;
+        empty if it has to ask again.
+    """
+
+    job: str
+    asker: str
+    number: int
+    owner: str
+
+
+class Release(NamedTuple):
+    """Tell the home of jobs that nothing of them is left at an entry.
+
+    :param numbers: of the requests by which it had them; 0 where it never asked.
+    :param owner: the entry's incarnation.
+    :param hops: how often it may still be passed on.
+    """
+
+    jobs: list[str]
+    numbers: list[int]
+    owner: str
+    hops: int
+
+
+class Join(NamedTuple):
+    """Let a caller of the sender wait for a job that the receiver has.
+
+    ``Forwarded`` tells the result; ``Yielded`` that the receiver doesn't have it.
+
+    :param patience: seconds the caller waits.
+    """
+
+    job: str
+    patience: float
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -263,12 +263,50 @@
         "test_a_job_of_a_lost_entry_waits_though_nobody_can_tell_of_it",
     ),
     Break(
-        "nobody is told what waits",
+        "no home is asked",
         f"{LEASED}/handover.py",
-        "        taken += self._unsorted.values()\n",
+        "            self._acquire(job)\n",
+        "            self.start(job)\n",
+        f"{RUNS}/test_two_entries.py::"
+        "test_a_job_at_two_entries_is_run_once_and_answered_to_both",
+    ),
+    Break(
+        "claims of one moment have no order",
+        f"{LEASED}/claims.py",
+        "        if claimant is None or now - claimant.at > SAME_MOMENT:",
+        "        if True:",
+        f"{RUNS}/test_two_entries.py::"
+        "test_agents_that_hear_claims_in_another_order_let_one_entry_start_the_job",
+    ),
+    Break(
+        "a home that has just joined decides at once",
+        f"{LEASED}/homes.py",
+        "        if route != HERE or self._is_informed():",
+        "        if True:",
+        f"{RUNS}/test_two_entries.py::"
+        "test_a_job_at_two_entries_while_a_third_one_joins_is_run_once",
+    ),
+    Break(
+        "a home that ends tells nobody what it decided",
+        f"{LEASED}/entry.py",
+        "            self.handover.leave()\n",
         "",
-        f"{RUNS}/test_takeovers.py::"
-        "test_two_entries_that_wait_for_the_same_do_not_start_a_job_together",
+        f"{RUNS}/test_two_entries.py::"
+        "test_a_job_at_two_entries_while_a_third_one_is_lost_is_run_once",
+    ),
+    Break(
+        "jobs that wait count as taken",
+        f"{LEASED}/handover.py",
+        " if each.claiming]\n",
+        "]\n        taken += self._unsorted.values()\n",
+        f"{RUNS}/test_two_entries_exploration.py",
+    ),
+    Break(
+        "a release undoes a newer grant",
+        f"{LEASED}/homes.py",
+        "        exact = grant.number == number or not grant.number",
+        "        exact = True",
+        f"{RUNS}/test_homes.py",
     ),
     Break(
         "nobody is asked for a lost entry",
@@ -513,7 +551,7 @@
     Break(
         "agents probe no stream when another falls silent",
         f"{LEASED}/agent.py",
-        "self.links.probe(self._now) if silent else ()",
+        "self.links.probe(self._now)",
         "()",
         f"{RUNS}/test_silence.py",
     ),
--- a/tests/core/runs/test_adoption.py
+++ b/tests/core/runs/test_adoption.py
@@ -23,7 +23,7 @@
 
 def test_a_job_is_the_same_after_its_way_over_a_stream() -> None:
     steps = [list(step) for step in SPEC.steps]
-    sent = Forward(SPEC.job, SPEC.queue, SPEC.payload, steps, 1.5)
+    sent = Forward(SPEC.job, SPEC.queue, SPEC.payload, steps, 1.5, False)
     received = decode(encode(sent)[LENGTH:])
     assert isinstance(received, Forward)
     event = Adoption().adopt(7, received)
@@ -34,7 +34,7 @@
 def test_answers_go_back_on_the_stream_that_the_job_came_by() -> None:
     adoption = Adoption()
     steps = [list(step) for step in SPEC.steps]
-    event = adoption.adopt(7, Forward(SPEC.job, SPEC.queue, "", steps, 1.5))
+    event = adoption.adopt(7, Forward(SPEC.job, SPEC.queue, "", steps, 1.5, False))
     result = JobResult(SPEC.job, JobEnd.FAILED, "attempts", True)
     own = Answer(1, result)
     (kept, sent) = adoption.route([own, Answer(event.caller, result)])
--- a/tests/core/runs/test_takeovers.py
+++ b/tests/core/runs/test_takeovers.py
@@ -110,6 +110,7 @@
     world.freeze("entry-2")
     world.run(0.8)
     world.submit("entry-0", JOB)
+    world.run_until(lambda: bool(find_agents(world, "j1")), 1.0)
     world.run(0.2)
     world.cut_link("entry-2", find_agents(world, "j1")[0])
     world.run(1.0)
--- /dev/null
+++ b/tests/core/runs/test_two_entries.py
@@ -0,0 +1,199 @@
+"""One job at two entries at once: it stays one job, and both callers are answered.
+
+``RunsWorld`` checks after every step that no task runs twice at once.
+"""
+
+import pytest
+
+from godwitbank._internal.core.runs.events import AddressesRead
+from tests.core.runs.test_path import make_world
+from tests.lib.runs_world import RunsWorld, make_job
+
+GAPS = (0.0, 0.0002, 0.0005, 0.001, 0.0015, 0.003, 0.01, 0.07, 0.3, 0.7, 1.3)
+"""Seconds between the two submissions, from within a link's delay to a caller's wait
+after a broken connection."""
+
+CUTS = (0.0, 0.1, 0.28, 0.6, 0.75, 1.0)
+"""Seconds from the entries' cut to the first submission; it is noticed after 0.7."""
+
+WIDE_CUTS = (0.1, 0.5, 0.9, 1.3)
+
+WIDTH, SECONDS = 2, 1.8
+"""Tasks of a job, and how long they run: so that jobs don't have to wait for room."""
+
+
+def make_wide_world(seed: int = 0) -> RunsWorld:
+    """Make a deployment in which agents meet two of five entries each."""
+    world = RunsWorld(seed, entries_per_agent=2)
+    for number in range(5):
+        world.add_entry(f"entry-{number}")
+    for number in range(12):
+        world.add_agent(f"agent-{number}")
+    world.run(3.0)
+    return world
+
+
+def count_starts(world: RunsWorld) -> int:
+    """Count the starts that endpoints have carried out."""
+    return sum(len(each.started) for each in world.endpoints.values() if each)
+
+
+def submit_twice(
+    world: RunsWorld, first: str, second: str, gap: float, job: str = "j1"
+) -> None:
+    """Submit a job at one entry and, a while later, at another."""
+    spec = make_job(job, width=WIDTH, seconds=SECONDS)
+    world.submit(first, spec)
+    world.run(gap)
+    world.submit(second, spec)
+
+
+@pytest.mark.parametrize("gap", GAPS)
+@pytest.mark.parametrize(("entries", "agents"), [(2, 2), (2, 4), (3, 4), (4, 8)])
+def test_a_job_at_two_entries_is_run_once_and_answered_to_both(
+    entries: int, agents: int, gap: float
+) -> None:
+    """Guards against a task at two endpoints, and against an answer to nobody."""
+    world = make_world(entries=entries, agents=agents)
+    jobs = [f"j{number}" for number in range(6)]
+    for job in jobs:
+        submit_twice(world, "entry-0", "entry-1", gap, job)
+        world.run(0.05)
+    world.run(8.0)
+    for job in jobs:
+        assert world.get_ends(job) == ["completed", "completed"]
+    assert count_starts(world) == WIDTH * len(jobs)
+
+
+@pytest.mark.parametrize("gap", GAPS)
+@pytest.mark.parametrize("seed", range(6))
+def test_a_job_at_two_entries_of_a_wide_fleet_is_run_once(
+    seed: int, gap: float
+) -> None:
+    """Guards against a task at two endpoints where agents meet some entries only."""
+    world = make_wide_world(seed)
+    jobs = [f"j{number}" for number in range(4)]
+    for number, job in enumerate(jobs):
+        first, second = f"entry-{number}", f"entry-{(number + 1 + seed) % 5}"
+        if first != second:
+            submit_twice(world, first, second, gap, job)
+            world.run(0.05)
+    world.run(8.0)
+    for number, job in enumerate(jobs):
+        if number != (number + 1 + seed) % 5:
+            assert world.get_ends(job) == ["completed", "completed"]
+
+
+@pytest.mark.parametrize("hangs_up", [False, True])
+@pytest.mark.parametrize("gap", GAPS)
+@pytest.mark.parametrize("cut_before", CUTS)
+@pytest.mark.parametrize(("entries", "agents"), [(2, 4), (3, 4)])
+def test_a_job_at_two_entries_that_are_cut_off_from_each_other_is_run_once(
+    entries: int, agents: int, cut_before: float, gap: float, hangs_up: bool
+) -> None:
+    """Guards against a task at two endpoints across a cut, noticed or not."""
+    world = make_world(entries=entries, agents=agents)
+    world.cut_link("entry-0", "entry-1")
+    world.run(cut_before)
+    for number in range(3):
+        job = make_job(f"j{number}", width=WIDTH, seconds=SECONDS)
+        caller = world.submit("entry-1", job)
+        world.run(gap)
+        if hangs_up:
+            world.hang_up("entry-1", caller)
+        world.submit("entry-0", job)
+        world.run(0.02)
+    world.run(8.0)
+    world.heal()
+    world.run(3.0)
+    for number in range(3):
+        # A caller who hung up may be the one whose entry was let start the job.
+        ends = world.get_ends(f"j{number}")
+        assert ends if hangs_up else "completed" in ends
+
+
+@pytest.mark.parametrize("gap", GAPS)
+@pytest.mark.parametrize("cut_before", WIDE_CUTS)
+@pytest.mark.parametrize("seed", range(3))
+def test_a_job_at_two_entries_of_a_wide_fleet_that_are_cut_off_is_run_once(
+    seed: int, cut_before: float, gap: float
+) -> None:
+    """Guards against the same where agents can't tell."""
+    world = make_wide_world(seed)
+    world.cut_link("entry-0", "entry-1")
+    world.run(cut_before)
+    for number in range(4):
+        submit_twice(world, "entry-0", "entry-1", gap, f"j{number}")
+        world.run(0.02)
+    world.run(9.0)
+    for number in range(4):
+        assert "completed" in world.get_ends(f"j{number}")
+
+
+@pytest.mark.parametrize("gap", [0.0, 0.0005, 0.01, 0.3])
+@pytest.mark.parametrize("started_before", [0.0, 0.001, 0.002, 0.003, 0.005, 0.01, 0.1])
+@pytest.mark.parametrize("unreached", [False, True])
+def test_a_job_at_two_entries_while_a_third_one_joins_is_run_once(
+    unreached: bool, started_before: float, gap: float
+) -> None:
+    """Guards against two entries that disagree on who decides, as one joins."""
+    world = make_world(entries=3, agents=4)
+    if unreached:
+        world.darken("entry-2")
+        world.run(14.0)
+    world.add_entry("entry-3")
+    world.processes["entry-3"].give(AddressesRead(("entry-2",)))
+    world.run(started_before)
+    jobs = [f"j{number}" for number in range(6)]
+    for job in jobs:
+        submit_twice(world, "entry-0", "entry-1", gap, job)
+        world.run(0.002)
+    world.run(12.0)
+    for job in jobs:
+        assert "completed" in world.get_ends(job)
+
+
+@pytest.mark.parametrize("gap", [0.0, 0.0005, 0.01, 0.3])
+@pytest.mark.parametrize("ended_before", [0.0, 0.001, 0.003, 0.1])
+@pytest.mark.parametrize("how", ["kill", "darken", "freeze", "stop"])
+@pytest.mark.parametrize("wide", [False, True])
+def test_a_job_at_two_entries_while_a_third_one_is_lost_is_run_once(
+    wide: bool, how: str, ended_before: float, gap: float
+) -> None:
+    """Guards against two entries that disagree on who decides, as one is lost."""
+    world = make_wide_world() if wide else make_world(entries=4, agents=4)
+    world.run(0.013)
+    if how == "stop":
+        world.stop("entry-2")
+        world.run(2.5)
+    else:
+        getattr(world, how)("entry-2")
+    world.run(ended_before)
+    jobs = [f"j{number}" for number in range(6)]
+    for job in jobs:
+        submit_twice(world, "entry-0", "entry-1", gap, job)
+        world.run(0.002)
+    world.run(12.0)
+    for job in jobs:
+        assert "completed" in world.get_ends(job)
+
+
+@pytest.mark.parametrize("gap", [0.0, 0.0005, 0.001, 0.0015, 0.002, 0.003, 0.005])
+@pytest.mark.parametrize("cut_before", [0.75, 1.0, 5.0])
+@pytest.mark.parametrize("agents", [2, 4])
+def test_agents_that_hear_claims_in_another_order_let_one_entry_start_the_job(
+    agents: int, cut_before: float, gap: float
+) -> None:
+    """Guards against a task at two endpoints as two entries claim a job at once."""
+    world = make_world(entries=2, agents=agents)
+    world.cut_link("entry-0", "entry-1")
+    world.run(cut_before)
+    for number in range(agents):
+        # Each agent is nearer to another entry.
+        world.delay_frames(f"entry-{number % 2}", f"agent-{number}", 0.002)
+    for number in range(4):
+        submit_twice(world, "entry-0", "entry-1", gap, f"j{number}")
+        world.run(0.02)
+    world.run(8.0)
+    for number in range(4):
+        assert "completed" in world.get_ends(f"j{number}")
--- /dev/null
+++ b/tests/core/runs/test_two_entries_exploration.py
@@ -0,0 +1,51 @@
+"""Callers that submit a job at two entries within moments, while all else fails."""
+
+from collections.abc import Callable
+
+import pytest
+
+from godwitbank._internal.core.runs.events import CallerGone
+from godwitbank._internal.models.jobs import JobSpec
+from tests.core.runs.test_exploration import SEEDS, SMALL, WIDE, Size, explore
+from tests.core.runs.test_silence_exploration import SilenceExplorer
+from tests.lib.runs_world import make_job
+
+GAPS = (0.0, 0.0005, 0.001, 0.003, 0.01, 0.07, 0.3, 0.8)
+"""Seconds between a job's two submissions."""
+
+
+class TwiceExplorer(SilenceExplorer):
+    """Explores jobs that are submitted at two entries, or twice at one."""
+
+    def list_kinds(self) -> list[Callable[[], None]]:
+        """List what may happen."""
+        return [*super().list_kinds(), *[self.submit_twice] * 8]
+
+    def submit_twice(self) -> None:
+        """Submit a new job at two entries, or twice at one; one caller may hang up."""
+        first, second = self._pick_live(self.entries), self._pick_live(self.entries)
+        if first is None or second is None:
+            return
+        self.submitted += 1
+        width, seconds = self.rng.choice((1, 2, 8)), self.rng.choice((0.1, 0.4, 1.8))
+        job = make_job(f"j{self.submitted}", width, seconds)
+        process = self.world.processes[first]
+        caller = self.world.submit(first, job, self.rng.choice((2.0, 5.0)))
+        gap = self.rng.choice(GAPS)
+        if self.rng.random() < 0.3:
+            self.world.after(gap, lambda: process.give(CallerGone(caller)))
+        patience = self.rng.choice((2.0, 5.0))
+        self.world.after(gap, lambda: self._submit_live(second, job, patience))
+
+    def _submit_live(self, entry: str, job: JobSpec, patience: float) -> None:
+        if not self.world.processes[entry].dead:
+            self.world.submit(entry, job, patience)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("size", [SMALL, WIDE], ids=["small", "wide"])
+def test_nothing_runs_twice_though_jobs_come_to_two_entries(
+    size: Size, seed: int
+) -> None:
+    """Guards against a task at two endpoints under random faults."""
+    explore(TwiceExplorer(seed, size=size))
--- /dev/null
+++ b/tests/platform/test_two_entries.py
@@ -0,0 +1,48 @@
+"""One job submitted at two entries of real processes within moments."""
+
+from collections.abc import Iterator
+from concurrent.futures import Future, ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+from soak.records import group_by_task, read_runs
+from standins.platform_fleet import PlatformFleet
+
+pytestmark = pytest.mark.processes
+
+JOBS = 60
+RUN_SECONDS = 0.2
+
+
+@pytest.fixture
+def platform(tmp_path: Path) -> Iterator[PlatformFleet]:
+    """Start a store; end everything whatever happens."""
+    started = PlatformFleet(tmp_path / "platform")
+    try:
+        yield started
+    finally:
+        started.stop()
+
+
+def submit(platform: PlatformFleet, entry: str, job: str) -> int:
+    """Submit a job and tell the status of its answer."""
+    return platform.submit(entry, job, seconds=RUN_SECONDS).status_code
+
+
+def test_a_job_at_two_entries_is_run_once_and_answered_to_both(
+    platform: PlatformFleet,
+) -> None:
+    """Guards against a task at two endpoints, and against an answer to nobody."""
+    platform.start(entries=2, agents=4)
+    answers: list[tuple[Future[int], Future[int]]] = []
+    with ThreadPoolExecutor(max_workers=8) as pool:
+        for number in range(JOBS):
+            job = f"{number:016x}"
+            first = pool.submit(submit, platform, "entry-0", job)
+            second = pool.submit(submit, platform, "entry-1", job)
+            answers.append((first, second))
+    statuses = [(first.result(), second.result()) for first, second in answers]
+    assert statuses == [(200, 200)] * JOBS
+    platform.stop()
+    for task, runs in group_by_task(read_runs(platform.folder)).items():
+        assert len(runs) == 1, (task, runs)
