Test that a lost entry delays only the jobs that it decided about

The cause was that an entry could not tell which jobs the lost one might have; since each job has a home, only those of the lost one wait. No change of code.

--- a/tests/core/runs/test_meeting.py
+++ b/tests/core/runs/test_meeting.py
@@ -230,3 +230,20 @@
             dials += 1
             addresses.close("", address, now)
     assert dials <= 15
+
+
+def test_a_lost_entry_delays_the_jobs_that_it_decided_about_only() -> None:
+    """Guards against all entries that hold every new job while one is missing."""
+    world = make_wide_world(entries=5, agents=10)
+    world.darken("entry-4")
+    world.run(1.3)
+    jobs = [f"j{number}" for number in range(40)]
+    for number, job in enumerate(jobs):
+        world.submit(f"entry-{number % 4}", make_job(job, seconds=0.05))
+        world.run(0.005)
+    world.run(4.0)
+    assert [world.get_ends(job) for job in jobs] == [["completed"]] * len(jobs)
+    delayed = {
+        note.request for _, _, note in world.notes if note.event == "job_delayed"
+    }
+    assert len(delayed & set(jobs)) <= len(jobs) / 5 * 2
