--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -284,7 +284,7 @@
         "        if route != HERE or self._is_informed():",
         "        if True:",
         f"{RUNS}/test_two_entries.py::"
-        "test_a_job_at_two_entries_while_a_third_one_joins_is_run_once",
+        "test_a_home_that_has_just_joined_asks_the_one_before_it",
     ),
     Break(
         "a home that ends tells nobody what it decided",
@@ -292,7 +292,7 @@
         "            self.handover.leave()\n",
         "",
         f"{RUNS}/test_two_entries.py::"
-        "test_a_job_at_two_entries_while_a_third_one_is_lost_is_run_once",
+        "test_a_home_that_ends_tells_others_what_it_let_start",
     ),
     Break(
         "jobs that wait count as taken",
--- a/tests/core/runs/test_two_entries.py
+++ b/tests/core/runs/test_two_entries.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from godwitbank._internal.core.runs.entry import UNREADY_SECONDS
 from godwitbank._internal.core.runs.events import AddressesRead
 from tests.core.runs.test_path import make_world
 from tests.lib.runs_world import RunsWorld, make_job
@@ -197,3 +198,43 @@
     world.run(8.0)
     for number in range(4):
         assert "completed" in world.get_ends(f"j{number}")
+
+
+def test_a_home_that_has_just_joined_asks_the_one_before_it() -> None:
+    """Guards against a new entry that lets start what runs already."""
+    world = make_world(entries=3, agents=4)
+    jobs = [f"j{number}" for number in range(12)]
+    for other in ("entry-1", "entry-3"):
+        world.delay_frames("entry-0", other, 0.3)
+    world.delay_frames("entry-2", "entry-3", 0.3)
+    for job in jobs:
+        world.submit("entry-0", make_job(job, seconds=SECONDS))
+    world.run(0.01)
+    world.add_entry("entry-3")
+    world.run(0.15)
+    for job in jobs:
+        world.submit("entry-1", make_job(job, seconds=SECONDS))
+    world.run(8.0)
+    for job in jobs:
+        assert world.get_ends(job) == ["completed", "completed"]
+
+
+@pytest.mark.parametrize("granted_before", [0.001, 0.003, 0.01])
+def test_a_home_that_ends_tells_others_what_it_let_start(granted_before: float) -> None:
+    """Guards against the next home, which lets start what runs already."""
+    world = make_world(entries=4, agents=4)
+    world.stop("entry-2")
+    world.run(UNREADY_SECONDS - granted_before - 0.002)
+    for other in ("entry-1", "entry-3"):
+        world.delay_frames("entry-0", other, 0.1)
+    jobs = [f"j{number}" for number in range(12)]
+    for job in jobs:
+        world.submit("entry-0", make_job(job, seconds=SECONDS))
+    world.run_until(lambda: "entry-2" in world.quiet, 1.0)
+    world.kill("entry-2")
+    world.run(0.003)
+    for job in jobs:
+        world.submit("entry-1", make_job(job, seconds=SECONDS))
+    world.run(8.0)
+    for job in jobs:
+        assert world.get_ends(job) == ["completed", "completed"]
