--- a/tests/core/runs/test_two_entries.py
+++ b/tests/core/runs/test_two_entries.py
@@ -49,6 +49,20 @@
     world.submit(second, spec)
 
 
+def serve_twice(world: RunsWorld, gap: float, pause: float) -> None:
+    """Submit jobs at two entries each, and see that they are done.
+
+    :param pause: seconds between one job and the next.
+    """
+    jobs = [f"j{number}" for number in range(6)]
+    for job in jobs:
+        submit_twice(world, "entry-0", "entry-1", gap, job)
+        world.run(pause)
+    world.run(12.0)
+    for job in jobs:
+        assert "completed" in world.get_ends(job)
+
+
 @pytest.mark.parametrize("gap", GAPS)
 @pytest.mark.parametrize(("entries", "agents"), [(2, 2), (2, 4), (3, 4), (4, 8)])
 def test_a_job_at_two_entries_is_run_once_and_answered_to_both(
@@ -123,12 +137,7 @@
     world = make_wide_world(seed)
     world.cut_link("entry-0", "entry-1")
     world.run(cut_before)
-    for number in range(4):
-        submit_twice(world, "entry-0", "entry-1", gap, f"j{number}")
-        world.run(0.02)
-    world.run(9.0)
-    for number in range(4):
-        assert "completed" in world.get_ends(f"j{number}")
+    serve_twice(world, gap, 0.02)
 
 
 @pytest.mark.parametrize("gap", [0.0, 0.0005, 0.01, 0.3])
@@ -145,13 +154,7 @@
     world.add_entry("entry-3")
     world.processes["entry-3"].give(AddressesRead(("entry-2",)))
     world.run(started_before)
-    jobs = [f"j{number}" for number in range(6)]
-    for job in jobs:
-        submit_twice(world, "entry-0", "entry-1", gap, job)
-        world.run(0.002)
-    world.run(12.0)
-    for job in jobs:
-        assert "completed" in world.get_ends(job)
+    serve_twice(world, gap, 0.002)
 
 
 @pytest.mark.parametrize("gap", [0.0, 0.0005, 0.01, 0.3])
@@ -170,13 +173,7 @@
     else:
         getattr(world, how)("entry-2")
     world.run(ended_before)
-    jobs = [f"j{number}" for number in range(6)]
-    for job in jobs:
-        submit_twice(world, "entry-0", "entry-1", gap, job)
-        world.run(0.002)
-    world.run(12.0)
-    for job in jobs:
-        assert "completed" in world.get_ends(job)
+    serve_twice(world, gap, 0.002)
 
 
 @pytest.mark.parametrize("gap", [0.0, 0.0005, 0.001, 0.0015, 0.002, 0.003, 0.005])
@@ -192,12 +189,7 @@
     for number in range(agents):
         # Each agent is nearer to another entry.
         world.delay_frames(f"entry-{number % 2}", f"agent-{number}", 0.002)
-    for number in range(4):
-        submit_twice(world, "entry-0", "entry-1", gap, f"j{number}")
-        world.run(0.02)
-    world.run(8.0)
-    for number in range(4):
-        assert "completed" in world.get_ends(f"j{number}")
+    serve_twice(world, gap, 0.02)
 
 
 def test_a_home_that_has_just_joined_asks_the_one_before_it() -> None:
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -3,9 +3,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from pathlib import Path
 
 import pytest
 from standins.fleet import wait_for
@@ -16,16 +14,6 @@
 JOB = "00000000000000"
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[PlatformFleet]:
-    """Start a store; end everything whatever happens."""
-    started = PlatformFleet(tmp_path / "platform")
-    try:
-        yield started
-    finally:
-        started.stop()
-
-
 def test_jobs_are_served_by_any_entry(platform: PlatformFleet) -> None:
     platform.start(entries=2, agents=2)
     for number, entry in enumerate(("entry-0", "entry-1")):
--- a/tests/platform/test_two_entries.py
+++ b/tests/platform/test_two_entries.py
@@ -1,8 +1,6 @@
 """One job submitted at two entries of real processes within moments."""
 
-from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
-from pathlib import Path
 
 import pytest
 from soak.records import group_by_task, read_runs
@@ -14,16 +12,6 @@
 RUN_SECONDS = 0.2
 
 
-@pytest.fixture
-def platform(tmp_path: Path) -> Iterator[PlatformFleet]:
-    """Start a store; end everything whatever happens."""
-    started = PlatformFleet(tmp_path / "platform")
-    try:
-        yield started
-    finally:
-        started.stop()
-
-
 def submit(platform: PlatformFleet, entry: str, job: str) -> int:
     """Submit a job and tell the status of its answer."""
     return platform.submit(entry, job, seconds=RUN_SECONDS).status_code
