Known red: an endpoint that was deaf for a while stays closed

Cause: two renewals without an answer close an endpoint; while it is idle no renewal is sent, so nothing opens it again (Endpoint.list_renewals). Ruled out: homes (agent and endpoint were not changed but for claims).

--- a/tests/core/runs/test_failures.py
+++ b/tests/core/runs/test_failures.py
@@ -602,3 +602,19 @@
     world.submit("entry-0", make_job("j2", width=3, seconds=0.2))
     world.run(0.5)
     assert world.get_ends("j2") == ["completed"]
+
+
+@pytest.mark.parametrize("seconds", [0.9, 1.5, 2.5])
+def test_an_endpoint_that_was_deaf_for_a_while_gets_work_again(seconds: float) -> None:
+    """Guards against an endpoint that stays closed though it answers again."""
+    world = make_world(entries=1, agents=1)
+    world.submit("entry-0", make_job("j1", width=2, seconds=1.8))
+    world.run(0.2)
+    world.lose_hold = lambda agent: True
+    world.run(seconds)
+    world.lose_hold = lambda agent: False
+    world.run(3.0)
+    assert world.processes["agent-0"].core.open
+    world.submit("entry-0", make_job("j2", seconds=0.2))
+    world.run(1.0)
+    assert world.get_ends("j2") == ["completed"]
