Test that a job coming twice to an entry that waits is answered to both

Scripted: an entry just started waits for another that is dark; a job comes twice to it, 50 ms apart.: refused, completed; now completed, completed. No change of code.

--- a/tests/core/runs/test_two_entries.py
+++ b/tests/core/runs/test_two_entries.py
@@ -230,3 +230,15 @@
     world.run(8.0)
     for job in jobs:
         assert world.get_ends(job) == ["completed", "completed"]
+
+
+def test_a_job_that_comes_twice_to_an_entry_which_waits_is_answered_to_both() -> None:
+    """Guards against a second submission that is refused while the first one waits."""
+    world = make_world(entries=2, agents=2)
+    world.darken("entry-1")
+    world.kill("entry-0")
+    world.add_entry("entry-0")
+    world.run(0.1)
+    submit_twice(world, "entry-0", "entry-0", 0.05)
+    world.run(8.0)
+    assert world.get_ends("j1") == ["completed", "completed"]
