Log and export what tells a version told once from one that nobody read

operators_not_read has the reason (status 429, given up), stream_lost the number of streams to the same process that are left, and the version in force is a metric. No decision changes.

--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -356,7 +356,10 @@
             return
         self.counts.add("streams_lost", link.hello.role)
         self._log_decision(
-            "stream_lost", role=link.hello.role, process=link.hello.process
+            "stream_lost",
+            role=link.hello.role,
+            process=link.hello.process,
+            others=self.links.count_streams(link.hello.incarnation),
         )
         view = self.dispatcher.fleet.views.get(event.stream)
         if view is not None:
@@ -460,9 +463,14 @@
         self._install(configuration, link.hello.process)
 
     def _install(self, configuration: Configuration, source: str) -> None:
+        replaced_version = self.routes.version
         if not self.routes.install(configuration):
             return
         self.counts.add("configurations_installed")
+        # The counter's value is the version itself, as versions only increase.
+        self.counts.add(
+            "configuration_version", amount=configuration.version - replaced_version
+        )
         self._log_decision(
             "configuration", version=configuration.version, source=source
         )
--- a/src/godwitbank/_internal/core/runs/links.py
+++ b/src/godwitbank/_internal/core/runs/links.py
@@ -380,6 +380,10 @@
         same = self._by_incarnation.get(incarnation)
         return same[-1] if same else None
 
+    def count_streams(self, incarnation: str) -> int:
+        """Count the open streams to a process."""
+        return len(self._by_incarnation.get(incarnation, ()))
+
     def record_sent(self, actions: Iterable[object], now: float) -> None:
         """Record on which streams a frame is sent that replaces a heartbeat."""
         for action in actions:
--- a/src/godwitbank/_internal/platform/operators.py
+++ b/src/godwitbank/_internal/platform/operators.py
@@ -128,8 +128,11 @@
         self._counts.add("store_looks", "failed")
         if not self._failed:
             self._failed = True
-            reason = type(error).__name__
-            fields = {"error": reason, "silence": self._measure_unanswered_seconds()}
+            fields = {
+                "error": type(error).__name__,
+                "reason": str(error),
+                "silence": self._measure_unanswered_seconds(),
+            }
             self._log.write("operators_not_read", "", fields)
 
     def _measure_unanswered_seconds(self) -> float:
--- a/tests/core/runs/test_entry.py
+++ b/tests/core/runs/test_entry.py
@@ -87,3 +87,12 @@
     assert core.find_queue("desk", "/checks/inner/1").name == "inner"
     assert core.find_queue("desk", "/checks/1").name == "checks"
     assert core.find_queue("other", "/checks/1") is None
+
+
+def test_metrics_tell_the_version_in_force() -> None:
+    world = make_world(entries=1)
+    core = world.processes["entry-0"].core
+    for version in (3, 7):
+        newer = Configuration(version, (QUEUE,), 10**6)
+        world.processes["entry-0"].deliver_event(ConfigurationRead(newer))
+    assert core.counts.get("configuration_version") == 7
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -272,6 +272,7 @@
                 "operators_read",
             ]
             assert lost[1]["error"] == "NoAnswerError"
+            assert lost[1]["reason"] == "no answer within the timeout"
             silence = read[1]["silence"]
             assert isinstance(silence, float) and silence > OUTAGE_SECONDS
 
