Give up all connections to a silent table with one timeout

On the product's own interface each idle connection that had gone silent cost one more read of the table its 1.0 s, until the pool let it go after 5 s, while a document that was accepted elsewhere waited.

Cause: the pool of httpx knows of a dead connection only by a call on it. The leased runs' client closes its idle connections with a call that timed out; the table's client did not.

Change: a timeout with no answer since the call was sent replaces the pool. Calls in flight end on the old one.

Before: test_one_timeout_closes_all_connections_to_a_silent_table failed (the second read times out, too), the two others passed; now all three pass.

The calls of an agent to its endpoint (network/endpoint.py) keep their pool: a slow task is no sign of a silent connection there, and a second pool would exceed the endpoint's limit of connections.

--- a/src/godwitbank/_internal/network/table.py
+++ b/src/godwitbank/_internal/network/table.py
@@ -10,10 +10,14 @@
 import httpx
 
 from godwitbank._internal.exceptions import TableError
+from godwitbank._internal.network.connections import Connections
 
 READ_TIMEOUT_SECONDS = 1.0
 WRITE_TIMEOUT_SECONDS = 1.5
 
+MAX_CONNECTIONS = 8
+"""Most connections to the table service; further calls wait for one."""
+
 
 class Row(NamedTuple):
     """A row of the table.
@@ -44,8 +48,7 @@
     """Reads and conditional writes over HTTP."""
 
     def __init__(self, base_url: str) -> None:
-        limits = httpx.Limits(max_connections=8)
-        self._client = httpx.AsyncClient(base_url=base_url, limits=limits)
+        self._connections = Connections(base_url, MAX_CONNECTIONS)
 
     async def read(self, key: str) -> Row:
         """Read one row.
@@ -84,15 +87,13 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._client.aclose()
+        await self._connections.close()
 
     async def _call(
         self, method: str, path: str, timeout: float, body: Any
     ) -> dict[str, Any]:
         try:
-            response = await self._client.request(
-                method, path, json=body, timeout=timeout
-            )
+            response = await self._connections.request(method, path, timeout, body)
             if response.status_code != httpx.codes.OK:
                 raise TableError(
                     f"the table service answered {response.status_code}",
