Send the settings again when one of two streams to an entry is lost

An entry that the store turns away kept an older configuration until the next change, however long that took.

Cause: a version went once, on the newest stream to an entry, and again only when a stream opens. If the newest dies without a word, the older one stands in and carries nothing that was lost. Class: state told once, on a path whose loss is repaired without telling it again.

Change: the loss of a stream, while another one to the same process remains, sends the evacuated zones and the configuration on that one, as opening a stream does.

Evacuated zones go out on all streams and pass before, too.

Tried and dropped: announcing jobs and grants again as well.

--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -329,9 +329,12 @@
         self._send(event.stream, Peers(self.links.addresses.list_known(), []))
         self.handover.handle_peer_connected(link)
         self._update_entry_count()
+        self._send_operator_settings(event.stream)
+
+    def _send_operator_settings(self, stream: int) -> None:
         # Sent first: a configuration makes the other entry place runs.
-        self._send_evacuation(event.stream)
-        self._send_configuration(event.stream)
+        self._send_evacuation(stream)
+        self._send_configuration(stream)
 
     def _update_entry_count(self) -> None:
         entries = len(self.links.list_peers()) + 1
@@ -366,10 +369,14 @@
             self.dispatcher.handle_agent_loss(view)
             return
         self.handover.reachability.handle_stream_loss(event.stream)
-        if self.links.find(link.hello.incarnation) is None:
+        remaining = self.links.find(link.hello.incarnation)
+        if remaining is None:
             self.handover.handle_peer_loss(link)
             self._update_entry_count()
             self.dispatcher.admission.forget_peer(link.hello.incarnation)
+        else:
+            # What was last sent on the lost stream may be lost, too.
+            self._send_operator_settings(remaining.stream)
         self.intake.handle_stream_loss(event.stream)
         self.handover.handle_stream_loss(event.stream)
 
--- a/tests/core/runs/test_entry.py
+++ b/tests/core/runs/test_entry.py
@@ -1,9 +1,13 @@
 """Shutdown of an entry, its configuration, and its answers to callers."""
 
+import pytest
+
+from godwitbank._internal.core.events import Dial
 from godwitbank._internal.core.runs.events import ConfigurationRead
 from godwitbank._internal.models.jobs import Configuration
 from tests.core.runs.test_happy_path import make_world
-from tests.lib.run_cluster import QUEUE, make_job
+from tests.core.runs.test_silent_streams import RECOVERY_SECONDS
+from tests.lib.run_cluster import QUEUE, RunCluster, make_job
 
 
 def test_stopping_entry_finishes_accepted_jobs() -> None:
@@ -96,3 +100,46 @@
         newer = Configuration(version, (QUEUE,), 10**6)
         world.processes["entry-0"].deliver_event(ConfigurationRead(newer))
     assert core.counts.get("configuration_version") == 7
+
+
+def open_second_stream(world: RunCluster) -> None:
+    """Open a second stream between two entries, as if both had dialled at once."""
+    dialling = world.processes["entry-1"]
+    world.perform(dialling, [Dial("entry-0")])
+    world.run(0.1)
+
+
+def silence_newest_streams(world: RunCluster) -> None:
+    """Lose all further frames on the newest stream between two entries."""
+    for name in ("entry-0", "entry-1"):
+        process = world.processes[name]
+        newest = process.core.links.list_peers()[0]
+        process.streams[newest.stream].loses_frames = True
+
+
+@pytest.mark.parametrize("dead_before", [0.0, 0.2, 0.4, 0.6])
+def test_version_lost_with_a_stream_is_sent_on_the_other_stream(
+    dead_before: float,
+) -> None:
+    world = make_world()
+    open_second_stream(world)
+    silence_newest_streams(world)
+    world.run(dead_before)
+    newer = Configuration(7, (QUEUE,), 10**6)
+    world.processes["entry-0"].deliver_event(ConfigurationRead(newer))
+    world.run(RECOVERY_SECONDS)
+    assert world.processes["entry-1"].core.routes.version == 7
+
+
+@pytest.mark.parametrize("dead_before", [0.0, 0.2, 0.4, 0.6])
+def test_evacuation_lost_with_a_stream_is_sent_on_the_other_stream(
+    dead_before: float,
+) -> None:
+    world = make_world()
+    world.without_store.add("entry-1")
+    open_second_stream(world)
+    silence_newest_streams(world)
+    world.run(dead_before)
+    world.evacuate("zone-2")
+    world.run(RECOVERY_SECONDS)
+    assert world.processes["entry-1"].core.evacuations.covers("zone-2")
