--- a/bench/stubs.py
+++ b/bench/stubs.py
@@ -22,6 +22,7 @@
     Send,
 )
 from godwitbank._internal.core.identity import Identity, Timing, make_hello
+from godwitbank._internal.models.addresses import parse_address
 from godwitbank._internal.models.messages import (
     PROTOCOL_VERSION,
     Ending,
@@ -29,7 +30,6 @@
     Hello,
     Role,
 )
-from godwitbank._internal.models.settings import parse_address
 from godwitbank._internal.network.codec import encode
 from godwitbank._internal.network.streams import StreamCallbacks, StreamTable
 from godwitbank._internal.operations.inbox import Inbox
--- a/src/godwitbank/_internal/models/settings.py
+++ b/src/godwitbank/_internal/models/settings.py
@@ -79,16 +79,6 @@
 S = TypeVar("S", EntrySettings, AgentSettings)
 
 
-def parse_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``.
-
-    >>> parse_address("127.0.0.1:80")
-    ('127.0.0.1', 80)
-    """
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def _check_address(settings: NamedTuple, text: str) -> TableFault | None:
     for key in ("http", "stream", "balancer"):
         address = getattr(settings, key)
--- a/src/godwitbank/_internal/operations/agent.py
+++ b/src/godwitbank/_internal/operations/agent.py
@@ -24,13 +24,14 @@
 from godwitbank._internal.core.identity import Identity, Timing, make_hello
 from godwitbank._internal.exceptions import FrameError
 from godwitbank._internal.http.agent import Announcement, make_app
+from godwitbank._internal.models.addresses import parse_address
 from godwitbank._internal.models.messages import (
     Ending,
     Message,
     Peers,
     Role,
 )
-from godwitbank._internal.models.settings import AgentSettings, parse_address
+from godwitbank._internal.models.settings import AgentSettings
 from godwitbank._internal.network.codec import FrameReader, encode
 from godwitbank._internal.network.endpoint import EndpointClient
 from godwitbank._internal.network.streams import StreamCallbacks, StreamTable
--- a/src/godwitbank/_internal/operations/sockets.py
+++ b/src/godwitbank/_internal/operations/sockets.py
@@ -4,7 +4,7 @@
 import socket
 
 from godwitbank._internal.exceptions import AddressInUseError
-from godwitbank._internal.models.settings import parse_address
+from godwitbank._internal.models.addresses import parse_address
 
 BACKLOG_CONNECTIONS = 1024
 
