--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import NamedTuple
 
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.events import Send
@@ -17,6 +16,7 @@
 from godwitbank._internal.core.runs.dispatcher import Dispatcher
 from godwitbank._internal.core.runs.events import LogDecision, RunAction
 from godwitbank._internal.core.runs.fleet import AgentView
+from godwitbank._internal.core.runs.held_jobs import HeldJobs, PendingRequest
 from godwitbank._internal.core.runs.homes import LOCAL_ROUTE, AcquireRequest, Homes
 from godwitbank._internal.core.runs.jobs import Job
 from godwitbank._internal.core.runs.links import BUSY_TIMEOUT_SECONDS, Link, Links
@@ -48,18 +48,6 @@
 again the next time that delayed jobs are processed."""
 
 
-class PendingRequest(NamedTuple):
-    """A job that was requested from its home and not decided yet.
-
-    :param stream: on which the request was sent.
-    :param request_number: number of that request.
-    """
-
-    job: Job
-    stream: int
-    request_number: int
-
-
 class Handover:
     """Decides when a submitted job may start at this entry.
 
@@ -79,9 +67,7 @@
         self._links = links
         self._counts = counts
         self._ownership = JobOwnership()
-        self._delayed: dict[str, DelayedJob] = {}
-        self._undecided: dict[str, Job] = {}
-        self._pending_requests: dict[str, PendingRequest] = {}
+        self._held = HeldJobs()
         self._entries_per_agent = entries_per_agent
         dispatcher.may_run_elsewhere = self.may_run_elsewhere
         dispatcher.on_job_removed = self._release
@@ -127,16 +113,11 @@
     @property
     def busy(self) -> bool:
         """Whether any job waits here for permission to start."""
-        return bool(self._delayed or self._undecided or self._pending_requests)
+        return bool(self._held)
 
     def find_waiting(self, name: str) -> Job | None:
         """Return a job that waits here to start, if callers wait for it."""
-        if name in self._pending_requests:
-            return self._pending_requests[name].job
-        delayed = self._delayed.get(name)
-        if delayed is not None:
-            return None if delayed.abandoned else delayed.job
-        return self._undecided.get(name)
+        return self._held.find(name)
 
     @property
     def synced(self) -> bool:
@@ -162,49 +143,26 @@
 
     def _hold(self, job: Job) -> None:
         name = job.spec.job
-        if name not in self._undecided:
+        if name not in self._held.undecided:
             known_at = max(
                 self._readiness.sync_deadline, self._ownership.get_last_expiry()
             )
             self._log_delay(name, "uninformed", known_at)
-        self._undecided[name] = job
+        self._held.undecided[name] = job
 
     def handle_caller_loss(self, caller: int) -> None:
         """Drop the waiting jobs that no caller but a disconnected one waits for."""
-        for name, job in self._list_waiting():
-            if caller not in job.callers:
-                continue
-            job.callers.remove(caller)
-            if not job.callers:
-                for waiting in (self._undecided, self._delayed, self._pending_requests):
-                    waiting.pop(name, None)
-                self._release(name)
-
-    def _list_waiting(self) -> list[tuple[str, Job]]:
-        waiting = list(self._undecided.items())
-        waiting += [
-            (name, pending.job) for name, pending in self._pending_requests.items()
-        ]
-        waiting += [
-            (name, delayed.job)
-            for name, delayed in self._delayed.items()
-            if not delayed.abandoned
-        ]
-        return waiting
+        for name in self._held.remove_caller(caller):
+            self._release(name)
 
     def give_up_expired(self) -> None:
         """Answer the callers of jobs that pass their deadline while they wait here.
 
         The answer says that the job may have run, as another entry may run it.
         """
-        for name, job in self._list_waiting():
-            if job.deadline <= self._now:
-                self._undecided.pop(name, None)
-                self._pending_requests.pop(name, None)
-                if name in self._delayed:
-                    self._delayed[name].abandoned = True
-                self._release(name)
-                self._give_up_possibly_run(job)
+        for job in self._held.abandon_expired(self._now):
+            self._release(job.spec.job)
+            self._give_up_possibly_run(job)
 
     def _give_up_possibly_run(self, job: Job, reason: str = "deadline") -> None:
         job.ran = True
@@ -212,12 +170,10 @@
 
     def refuse_all(self, reason: str) -> None:
         """Refuse all jobs that wait here for permission to start."""
-        for _, job in self._list_waiting():
+        for job in self._held.list_waiting():
             self._dispatcher.refuse(job, reason)
             self._release(job.spec.job)
-        self._undecided.clear()
-        self._pending_requests.clear()
-        self._delayed.clear()
+        self._held.clear()
 
     def handle_peer_loss(self, link: Link) -> None:
         """React to the end of the last stream to a peer."""
@@ -246,10 +202,8 @@
         self._retry_requests(stream)
 
     def _retry_requests(self, stream: int) -> None:
-        for name, pending in list(self._pending_requests.items()):
-            if pending.stream == stream:
-                del self._pending_requests[name]
-                self.submit(pending.job)
+        for job in self._held.pop_requests(stream):
+            self.submit(job)
 
     def leave(self) -> None:
         """Stop being the home of any job, and announce the grants of this entry.
@@ -309,7 +263,7 @@
         name = job.spec.job
         owner = self._ownership.find_owner(name)
         if self._is_stopping(name):
-            self._undecided[name] = job
+            self._held.undecided[name] = job
         elif owner not in ("", self._links.own_incarnation):
             self._contact_owner(job, owner)
         else:
@@ -317,7 +271,7 @@
 
     def _is_stopping(self, name: str) -> bool:
         """Return whether an earlier submission of a job is still being stopped here."""
-        return name in self._dispatcher.jobs or name in self._delayed
+        return name in self._dispatcher.jobs or name in self._held.delayed
 
     def _acquire(self, job: Job) -> None:
         """Request a job from its home, or decide if this entry is the home."""
@@ -330,7 +284,7 @@
             self._handle_decision(job, current_owner)
         else:
             request_number = self.homes.request_job(name, route)
-            self._pending_requests[name] = PendingRequest(
+            self._held.requests[name] = PendingRequest(
                 job, route.stream, request_number
             )
 
@@ -356,7 +310,7 @@
 
     def _handle_decision(self, job: Job, current_owner: str | None) -> None:
         if current_owner is None:
-            self._undecided[job.spec.job] = job
+            self._held.undecided[job.spec.job] = job
         elif current_owner == self._links.own_incarnation:
             self.start(job)
         else:
@@ -397,7 +351,7 @@
     def handle_acquired(self, link: Link, message: Acquired) -> None:
         """Process the answer of a job's home to a request."""
         self.homes.handle_answer(link.stream, message)
-        pending = self._pending_requests.get(message.job)
+        pending = self._held.requests.get(message.job)
         own = message.requester == self._links.own_incarnation
         if (
             not own
@@ -406,9 +360,9 @@
         ):
             return
         if not message.owner:
-            self._pending_requests[message.job] = pending._replace(stream=RETRY_STREAM)
+            self._held.requests[message.job] = pending._replace(stream=RETRY_STREAM)
         else:
-            del self._pending_requests[message.job]
+            del self._held.requests[message.job]
             self._handle_decision(pending.job, message.owner)
 
     def handle_release(self, link: Link, message: Release) -> None:
@@ -417,7 +371,7 @@
         self.homes.handle_release(message)
 
     def _is_owned_here(self, name: str) -> bool:
-        delayed = self._delayed.get(name)
+        delayed = self._held.delayed.get(name)
         claiming = delayed is not None and delayed.claim_sent and not delayed.abandoned
         return name in self._dispatcher.jobs or claiming or self.has_transferred(name)
 
@@ -462,11 +416,11 @@
         return self._may_miss_owners() and self.homes.find_route(job.spec.job) is None
 
     def _resolve_undecided(self) -> None:
-        if not self._undecided or not self.synced:
+        if not self._held.undecided or not self.synced:
             return
-        for job in list(self._undecided.values()):
+        for job in list(self._held.undecided.values()):
             if not self._must_wait(job):
-                del self._undecided[job.spec.job]
+                del self._held.undecided[job.spec.job]
                 self._resolve_owner(job)
 
     def _claim(self, job: Job) -> None:
@@ -486,7 +440,7 @@
             start_at = max(start_at, self._ownership.get_last_expiry())
         delayed = DelayedJob(job, self._now, start_at)
         delayed.record_claim(views)
-        self._delayed[name] = delayed
+        self._held.delayed[name] = delayed
         self._log_delay(name, "claimed", start_at)
         self._announcements.announce(name, self._now)
         for stream in views:
@@ -494,11 +448,11 @@
 
     def handle_claimed(self, view: AgentView, message: Claimed) -> None:
         """Process an agent's answer to the claim of a job."""
-        delayed = self._delayed.get(message.job)
+        delayed = self._held.delayed.get(message.job)
         if delayed is None or not delayed.claim_sent:
             return
         if message.claim_lost:
-            del self._delayed[message.job]
+            del self._held.delayed[message.job]
             self._release(message.job)
             if not delayed.abandoned:
                 self._give_up_possibly_run(delayed.job, "claimed_elsewhere")
@@ -545,13 +499,13 @@
             start_at = self._ownership.get_expiry(owner, self._now)
         reason = "owner_gone" if link is None else "asked"
         self._log_delay(name, reason, start_at)
-        self._delayed[name] = DelayedJob(job, self._now, start_at)
+        self._held.delayed[name] = DelayedJob(job, self._now, start_at)
 
     def handle_yielded(self, link: Link, message: Yielded) -> None:
         """React to the message that no run of a job is left at another entry."""
         name = message.job
         self._yields.answer_relayed(name)
-        delayed = self._delayed.get(name)
+        delayed = self._held.delayed.get(name)
         awaited = delayed is not None and not delayed.claim_sent
         if awaited or self._ownership.find_owner(name) == link.hello.incarnation:
             self._ownership.forget(name)
@@ -559,7 +513,7 @@
             self._resubmit(delayed)
 
     def _resubmit(self, delayed: DelayedJob) -> None:
-        del self._delayed[delayed.job.spec.job]
+        del self._held.delayed[delayed.job.spec.job]
         if not delayed.abandoned:
             self.submit_contested(delayed.job)
 
@@ -572,14 +526,14 @@
         self.submit(job)
 
     def _start_now(self, delayed: DelayedJob) -> None:
-        del self._delayed[delayed.job.spec.job]
+        del self._held.delayed[delayed.job.spec.job]
         if not delayed.abandoned:
             self._dispatch(delayed.job)
 
     def start_delayed(self) -> None:
         """Start the delayed jobs whose wait is over, or extend their wait."""
         self._retry_requests(RETRY_STREAM)
-        for name, delayed in list(self._delayed.items()):
+        for name, delayed in list(self._held.delayed.items()):
             if delayed.start_at > self._now:
                 continue
             if delayed.claim_sent:
@@ -660,7 +614,7 @@
         self._yields.add(name, link.stream)
 
     def _abandon(self, name: str) -> None:
-        delayed = self._delayed.get(name)
+        delayed = self._held.delayed.get(name)
         if delayed is not None and not delayed.abandoned:
             self._dispatcher.refuse(delayed.job, "submitted_elsewhere")
             delayed.abandoned = True
@@ -680,7 +634,7 @@
         Other jobs here still wait for permission to start.
         """
         owned = [*self._dispatcher.jobs.values()]
-        owned += [each.job for each in self._delayed.values() if each.claim_sent]
+        owned += [each.job for each in self._held.delayed.values() if each.claim_sent]
         return owned
 
     def handle_took(self, link: Link, message: Took) -> None:
@@ -733,9 +687,9 @@
 
         :param age: seconds since the other entry became the owner.
         """
-        delayed = self._delayed.get(name)
+        delayed = self._held.delayed.get(name)
         if delayed is None or delayed.abandoned or not delayed.claim_sent:
             return
         if self._now - delayed.job.arrival < age:
-            del self._delayed[name]
+            del self._held.delayed[name]
             self._request_yield(delayed.job, owner)
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -314,7 +314,7 @@
         "undecided jobs are announced as owned",
         f"{LEASED}/handover.py",
         " if each.claim_sent]\n",
-        "]\n        owned += self._undecided.values()\n",
+        "]\n        owned += self._held.undecided.values()\n",
         f"{RUNS}/test_two_entries_exploration.py",
     ),
     Break(
