Ask an unresponsive endpoint again when nothing runs on it

What callers saw: capacity that stays unused. An endpoint whose renewals went unanswered twice, with nothing left on it, stayed closed though it answered again.

Cause: only an answered renewal opens it, and renewals were sent only while something ran there.

Change: while it reports, such an endpoint is sent a renewal every 0.25 s until it answers; none once its reports stop.

--- a/src/godwitbank/_internal/core/runs/endpoint.py
+++ b/src/godwitbank/_internal/core/runs/endpoint.py
@@ -36,6 +36,13 @@
 MAX_UNANSWERED_RENEWALS = 2
 """Consecutive unanswered renewals after which the endpoint gets no new runs."""
 
+IDLE_RETRY_SECONDS = 0.25
+"""Seconds between renewals of an endpoint that gets no new runs and has none left.
+
+Only an answered renewal makes it get runs again. No run waits for the answer, so there
+is no need to retry as soon as on a busy endpoint.
+"""
+
 
 class UnknownRun(NamedTuple):
     """A run listed by the endpoint that this agent process did not start."""
@@ -88,6 +95,7 @@
         self._renewals: dict[int, Renewal] = {}
         self._next_renewal = 0
         self._renew_at = now
+        self._renewed_at = now
         self._confirmed_token = 0
         self._now = now
         self._unverified_report: EndpointReport | None = None
@@ -96,13 +104,13 @@
     @property
     def open(self) -> bool:
         """Whether the endpoint may get new runs."""
-        ready = (
-            self.reconciled
-            and self.reporting
-            and self._unanswered < MAX_UNANSWERED_RENEWALS
-        )
+        ready = self.reconciled and self.reporting and not self._is_unresponsive
         return bool(self.instance) and ready and not self.draining
 
+    @property
+    def _is_unresponsive(self) -> bool:
+        return self._unanswered >= MAX_UNANSWERED_RENEWALS
+
     def apply_report(self, report: EndpointReport, now: float) -> ReportChange:
         """Apply a report, unless it is outdated or from an earlier boot."""
         if report.instance in self._earlier_instances:
@@ -262,7 +270,8 @@
 
         While something runs, one renewal is always held at the endpoint, waiting for a
         run to end. A raised token is sent immediately in a second renewal that doesn't
-        wait.
+        wait. While nothing runs, renewals are sent only to find out whether an
+        unresponsive endpoint answers again.
 
         :param busy: whether runs use capacity of the endpoint.
         :param ends_by: latest end of the lease, on the agent's clock in seconds.
@@ -281,9 +290,17 @@
             if any(each.token == self.token for each in self._renewals.values()):
                 return []
             return [self._renew(now, 0, ends_by)]
-        if not busy or self._renewals:
+        if self._renewals:
             return []
-        return [self._renew(now, int(RENEWAL_WAIT_SECONDS * 1000), ends_by)]
+        if busy:
+            return [self._renew(now, int(RENEWAL_WAIT_SECONDS * 1000), ends_by)]
+        if self._must_retry_idle(now):
+            return [self._renew(now, 0, ends_by)]
+        return []
+
+    def _must_retry_idle(self, now: float) -> bool:
+        is_due = now - self._renewed_at >= IDLE_RETRY_SECONDS
+        return self.reporting and self._is_unresponsive and is_due
 
     def _renew(self, now: float, wait_ms: int, ends_by: float) -> RenewLease:
         self._next_renewal += 1
@@ -291,14 +308,12 @@
         # Runs started by a previous agent process must not be kept alive by this
         # agent's lease. An endpoint that doesn't answer gets no extension either,
         # because its runs only count as lost once the last lease has ended.
-        extends_lease = (
-            not self._may_have_unknown_runs
-            and self._unanswered < MAX_UNANSWERED_RENEWALS
-        )
+        extends_lease = not self._may_have_unknown_runs and not self._is_unresponsive
         until = (
             self.clock.grant(now, ends_by) if extends_lease and ends_by > now else None
         )
         self._renewals[number] = Renewal(self.token, now)
+        self._renewed_at = now
         return RenewLease(
             number,
             self.instance,
--- a/tests/core/runs/test_failures.py
+++ b/tests/core/runs/test_failures.py
@@ -7,6 +7,7 @@
 import pytest
 from standins.leased_endpoint import Behaviour, FakeEndpoint
 
+from godwitbank._internal.core.runs.deployment import DEFAULT_DEPLOYMENT
 from godwitbank._internal.core.runs.events import ReportReceived, StoredReportRead
 from godwitbank._internal.models.resources import Resources
 from tests.core.runs.test_happy_path import make_world
@@ -628,3 +629,26 @@
     world.submit("entry-0", make_job("j2", seconds=0.2))
     world.run(1.0)
     assert world.list_ends("j2") == ["completed"]
+
+
+def test_an_idle_endpoint_is_asked_again_only_while_it_reports() -> None:
+    """Guards against renewals without end to an endpoint that is gone."""
+    world = make_world(entries=1, agents=1)
+    asked_at: list[float] = []
+
+    def lose_renewal(agent: str) -> bool:
+        asked_at.append(world.now)
+        return True
+
+    world.submit("entry-0", make_job("j1", width=2, seconds=0.5))
+    world.run(0.2)
+    world.loses_renewal = lose_renewal
+    world.run(3.0)
+    idle_since = world.now
+    world.run(2.0)
+    assert 1 < len([at for at in asked_at if at > idle_since]) <= 8
+    world.endpoints["agent-0"] = None
+    world.run(DEFAULT_DEPLOYMENT.report_timeout_seconds + 0.5)
+    gone_since = world.now
+    world.run(10.0)
+    assert not [at for at in asked_at if at > gone_since]
