--- a/src/godwitbank/_internal/core/runs/dispatcher.py
+++ b/src/godwitbank/_internal/core/runs/dispatcher.py
@@ -21,7 +21,7 @@
     Fleet,
 )
 from godwitbank._internal.core.runs.jobs import Job, Task, TaskState
-from godwitbank._internal.core.runs.lease import LAPSE_SECONDS
+from godwitbank._internal.core.runs.orphans import OrphanedRuns
 from godwitbank._internal.core.runs.placement import AgentChooser, Placement
 from godwitbank._internal.core.runs.policy import DEFAULT_POLICY, Policy
 from godwitbank._internal.core.runs.waiting import WaitingTasks
@@ -104,7 +104,7 @@
         self.try_forward: Callable[[Job], bool] = lambda job: False
         """Forwards a job to an entry with free capacity; false if there is none."""
         self._waiting: dict[str, WaitingTasks] = {}
-        self._orphaned: list[Task] = []
+        self._orphaned = OrphanedRuns()
         self._now = 0.0
         self._emit: Callable[[RunAction], None] = lambda action: None
 
@@ -442,13 +442,10 @@
         task = view.tasks.get(message.task)
         if task is None:
             # Reported on a new stream: losing the old one orphaned the run.
-            for orphan in self._orphaned:
-                if orphan.name == message.task and orphan.agent == view.address:
-                    task = orphan
+            task = self._orphaned.find(message.task, view.address)
         if task is None or task.run != message.run:
             return None
-        if task in self._orphaned:
-            self._orphaned.remove(task)
+        self._orphaned.remove(task)
         return task
 
     def _update_health(
@@ -528,9 +525,7 @@
         self.fleet.remove(view, self._now)
         for task in list(view.tasks.values()):
             view.remove_run(task)
-            task.state = TaskState.ORPHANED
-            task.lapses_at = self._now + LAPSE_SECONDS
-            self._orphaned.append(task)
+            self._orphaned.add(task, self._now)
 
     def reconcile(self, view: AgentView, held_tasks: list[str]) -> None:
         """Match orphaned runs with those that a reconnected agent still has.
@@ -538,7 +533,7 @@
         :param held_tasks: names of the tasks that the agent has runs of.
         """
         names = set(held_tasks)
-        for task in [each for each in self._orphaned if each.agent == view.address]:
+        for task in self._orphaned.list_at(view.address):
             if task.name in names:
                 self._orphaned.remove(task)
                 task.state = TaskState.SENT
@@ -551,7 +546,7 @@
 
         Called once all runs that the agent's previous process had started have ended.
         """
-        for task in [each for each in self._orphaned if each.agent == view.address]:
+        for task in self._orphaned.list_at(view.address):
             self._release_orphan(task)
 
     def _release_orphan(self, task: Task) -> None:
@@ -574,7 +569,7 @@
 
     def check_deadlines(self) -> None:
         """Give up expired jobs, retry orphaned runs that have lapsed, and dispatch."""
-        for task in [each for each in self._orphaned if each.lapses_at <= self._now]:
+        for task in self._orphaned.list_lapsed(self._now):
             self._release_orphan(task)
         for job in list(self.jobs.values()):
             if job.ending:
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -347,9 +347,9 @@
     ),
     Break(
         "orphaned runs are restarted without waiting for their lapse",
-        f"{LEASED}/dispatcher.py",
-        "            task.lapses_at = self._now + LAPSE_SECONDS",
-        "            task.lapses_at = self._now",
+        f"{LEASED}/orphans.py",
+        "        task.lapses_at = now + LAPSE_SECONDS",
+        "        task.lapses_at = now",
         f"{RUNS}/test_failures.py::"
         "test_runs_of_an_agent_cut_off_from_its_entry_are_placed_elsewhere",
     ),
