Leave a job undecided while another entry decides about it for its home

Cause: an entry that has just joined is the home of some jobs and has the previous home decide about them. Once it knew the owners that others had announced, it decided the next request for such a job itself, before the answer to the first had come, and granted the job a second time. 'No answer yet' was taken for 'no owner'.

Scripted, on as well: 5 of 20 moments ran a task at two endpoints.

Change: a job for which a request is with an acting home is undecided here until the answer, or the loss of the stream, has come; the next requests wait. A request to act for another home is then answered 'no home', so that two entries never wait for each other; the requester asks again. The relayed requests stand in a module of their own.

--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -17,7 +17,7 @@
 from godwitbank._internal.core.runs.events import LogDecision, RunAction
 from godwitbank._internal.core.runs.fleet import AgentView
 from godwitbank._internal.core.runs.held_jobs import HeldJobs, PendingRequest
-from godwitbank._internal.core.runs.homes import LOCAL_ROUTE, AcquireRequest, Homes
+from godwitbank._internal.core.runs.homes import LOCAL_ROUTE, Homes
 from godwitbank._internal.core.runs.jobs import Job
 from godwitbank._internal.core.runs.links import BUSY_TIMEOUT_SECONDS, Link, Links
 from godwitbank._internal.core.runs.ownership import (
@@ -31,6 +31,7 @@
 )
 from godwitbank._internal.core.runs.reachability import PeerReachability
 from godwitbank._internal.core.runs.readiness import Readiness
+from godwitbank._internal.core.runs.relayed_requests import AcquireRequest
 from godwitbank._internal.models.messages import Message
 from godwitbank._internal.models.run_messages import (
     Acquire,
--- a/src/godwitbank/_internal/core/runs/homes.py
+++ b/src/godwitbank/_internal/core/runs/homes.py
@@ -19,6 +19,11 @@
 from godwitbank._internal.core.runs.links import BUSY_TIMEOUT_SECONDS, Links
 from godwitbank._internal.core.runs.ownership import JobOwnership
 from godwitbank._internal.core.runs.reachability import PeerReachability
+from godwitbank._internal.core.runs.relayed_requests import (
+    AcquireRequest,
+    RelayedRequest,
+    RelayedRequests,
+)
 from godwitbank._internal.models.run_messages import Acquire, Acquired, Release
 
 MAX_HOPS = 3
@@ -47,25 +52,6 @@
     at: float
 
 
-class AcquireRequest(NamedTuple):
-    """An entry's request to start a job.
-
-    :param owner: the requesting entry's incarnation.
-    :param request_number: number of the request, counted by that entry.
-    :param stream: on which the requesting entry, or the one that relayed the request,
-        is answered.
-    :param acting: whether this entry decides in place of the home.
-    :param hops: how often the request may still be relayed.
-    """
-
-    job: str
-    owner: str
-    request_number: int
-    stream: int
-    acting: bool
-    hops: int
-
-
 class Route(NamedTuple):
     """The way to the entry that decides about a job.
 
@@ -164,7 +150,7 @@
         self._is_synced = is_synced
         self._find_current_owner = find_current_owner
         self._waiting: list[AcquireRequest] = []
-        self._relayed: dict[int, list[AcquireRequest]] = {}
+        self._relayed = RelayedRequests()
         self._request_numbers: dict[str, int] = {}
         self._released: dict[str, int] = {}
         self._counter = itertools.count(1)
@@ -254,6 +240,8 @@
         :param owner: incarnation of the requesting entry.
         :return: incarnation of the owner; ``None`` if that can't be decided yet.
         """
+        if self._relayed.is_decided_elsewhere(job):
+            return None
         current_owner = self._find_current_owner(job)
         if current_owner in ("", owner):
             self.grants.add(job, owner, request_number, self._now)
@@ -274,6 +262,11 @@
             self._waiting = [each for each in waiting if not self._process(each)]
 
     def _process(self, request: AcquireRequest) -> bool:
+        if self._relayed.is_decided_elsewhere(request.job):
+            # The two entries would wait for each other if each decided for the other.
+            if request.acting:
+                self._answer(request, "")
+            return request.acting
         route = self._choose_route(request)
         if route is None:
             return False
@@ -283,11 +276,14 @@
         current_owner = self.decide(request.job, request.owner, request.request_number)
         if current_owner is None:
             return False
+        self._answer(request, current_owner)
+        return True
+
+    def _answer(self, request: AcquireRequest, current_owner: str) -> None:
         answer = Acquired(
             request.job, request.owner, request.request_number, current_owner
         )
         self._emit(Send(request.stream, answer))
-        return True
 
     def _choose_route(self, request: AcquireRequest) -> Route | None:
         if request.acting:
@@ -303,9 +299,9 @@
     def _relay(self, request: AcquireRequest, route: Route) -> None:
         job, owner, request_number, _, _, hops = request
         if hops == 0 or route.stream == request.stream:
-            self._emit(Send(request.stream, Acquired(job, owner, request_number, "")))
+            self._answer(request, "")
             return
-        self._relayed.setdefault(route.stream, []).append(request)
+        self._relayed.add(RelayedRequest(request, route.stream, route.acting))
         message = Acquire(job, owner, request_number, route.acting, hops - 1)
         self._emit(Send(route.stream, message))
 
@@ -313,10 +309,8 @@
         """Record the owner that a home named; relay the answer to the requester."""
         if answer.owner not in ("", self._links.own_incarnation):
             self._ownership.record(answer.job, 0.0, answer.owner, self._now)
-        for request in list(self._relayed.get(stream, ())):
-            if request[:3] == answer[:3]:
-                self._relayed[stream].remove(request)
-                self._emit(Send(request.stream, answer))
+        for request in self._relayed.pop_answered(stream, answer):
+            self._emit(Send(request.stream, answer))
 
     def handle_release(self, release: Release) -> None:
         """Record and relay that no run of some jobs is left at an entry."""
@@ -346,7 +340,5 @@
         Requests that were relayed on it are queued, to be relayed to another entry.
         """
         self._waiting = [each for each in self._waiting if each.stream != stream]
-        self._waiting += self._relayed.pop(stream, [])
-        for target, requests in self._relayed.items():
-            remaining = [each for each in requests if each.stream != stream]
-            self._relayed[target] = remaining
+        self._waiting += self._relayed.pop_sent_on(stream)
+        self._relayed.drop_received_on(stream)
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -303,6 +303,14 @@
         f"{RUNS}/test_two_entries.py::"
         "test_a_home_that_has_just_joined_asks_the_previous_home",
     ),
+    Break(
+        "home decides while another entry decides in its place",
+        f"{LEASED}/relayed_requests.py",
+        "        return job in self._acting",
+        "        return False",
+        f"{RUNS}/test_two_entries.py::"
+        "test_a_home_that_asked_the_previous_one_waits_for_its_answer",
+    ),
     Break(
         "stopping home does not announce its grants",
         f"{LEASED}/entry.py",
--- a/tests/core/runs/test_two_entries.py
+++ b/tests/core/runs/test_two_entries.py
@@ -7,6 +7,7 @@
 
 from godwitbank._internal.core.runs.entry import UNREADY_SECONDS
 from godwitbank._internal.core.runs.events import AddressesRead
+from godwitbank._internal.core.runs.homes import choose_home
 from tests.core.runs.test_happy_path import make_world
 from tests.lib.run_cluster import RunCluster, make_job
 
@@ -226,6 +227,35 @@
         assert world.list_ends(job) == ["completed", "completed"]
 
 
+@pytest.mark.parametrize("submitted_after", [step * 0.002 for step in range(140, 160)])
+def test_a_home_that_asked_the_previous_one_waits_for_its_answer(
+    submitted_after: float,
+) -> None:
+    """Guards against two grants, by a home that has become synced and by the other."""
+    world = make_world(entries=4, agents=4)
+    for previous_home in ("entry-2", "entry-3"):
+        world.delay_frames(previous_home, "entry-4", 0.3)
+    world.add_entry("entry-4")
+    world.run_until(
+        lambda: len(world.processes["entry-4"].core.links.list_peers()) == 4
+    )
+    earlier = tuple(f"entry-{number}" for number in range(4))
+    jobs = [
+        job
+        for job in (f"j{number}" for number in range(60))
+        if choose_home(job, (*earlier, "entry-4")) == "entry-4"
+        and choose_home(job, earlier) in ("entry-2", "entry-3")
+    ]
+    for job in jobs:
+        world.submit("entry-0", make_job(job, seconds=RUN_SECONDS))
+    world.run(submitted_after)
+    for job in jobs:
+        world.submit("entry-1", make_job(job, seconds=RUN_SECONDS))
+    world.run(8.0)
+    for job in jobs:
+        assert world.list_ends(job) == ["completed", "completed"]
+
+
 @pytest.mark.parametrize("granted_before", [0.001, 0.003, 0.01])
 def test_a_home_that_stops_announces_its_grants(granted_before: float) -> None:
     """Guards against the next home granting a job that is running already."""
