Give each fleet of the tests a loopback network of its own

The network came from the process id modulo 250 and the metrics port is the same for all, so two fleets at once could share addresses, and one's checks reached the other's processes; two in one process always did.

Change: a fleet claims its network by a bound socket, which the kernel gives back when the process ends.

Before: test_fleets_that_run_at_once_share_no_address failed (127.9.185.2 twice); now it passes.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -16,6 +16,7 @@
 
 from godwitbank._internal.platform.settings import METRICS_PORT
 from standins.fleet import pick_port, wait_for
+from standins.loopback import LoopbackNetwork
 
 ROOT = Path(__file__).parent.parent
 SERVICE = "desk"
@@ -53,7 +54,8 @@
         self.front, self.ready, self.control, self.app, self.inner = (
             pick_port() for _ in range(5)
         )
-        self.store = f"127.9.{os.getpid() % 250}.1:{pick_port()}"
+        self._network = LoopbackNetwork()
+        self.store = f"{self._network.find_address(1)}:{pick_port()}"
         self._addresses: dict[str, str] = {}
         self.zones: dict[str, str] = {}
         """Availability zones by process name; ``ZONE`` applies to all others."""
@@ -80,7 +82,7 @@
         """Find the loopback address of a process; the first call assigns one."""
         if name not in self._addresses:
             number = len(self._addresses) + 2
-            self._addresses[name] = f"127.9.{os.getpid() % 250}.{number}"
+            self._addresses[name] = self._network.find_address(number)
         return self._addresses[name]
 
     def find_advertised_ip(self, name: str) -> str:
@@ -294,6 +296,7 @@
                 process.kill()
             process.wait()
         self.client.close()
+        self._network.release()
 
 
 def make_body(width: int, seconds: float) -> str:
