--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -221,8 +221,8 @@
     Break(
         "restarted agent serves before it is reconciled",
         f"{LEASED}/endpoint.py",
-        "            self.reconciled\n            and self.reporting\n",
-        "            self.reporting\n",
+        "        ready = self.reconciled and self.reporting and",
+        "        ready = self.reporting and",
         f"{RUNS}/test_failures.py::"
         "test_restarted_agent_stops_runs_of_the_previous_process",
     ),
@@ -386,12 +386,19 @@
         f"{RUNS}/test_failures.py::"
         "test_job_of_an_entry_that_is_cut_off_is_claimed_at_the_agents",
     ),
+    Break(
+        "unresponsive idle endpoints are never asked again",
+        f"{LEASED}/endpoint.py",
+        "        return self.reporting and self._is_unresponsive and is_due",
+        "        return False",
+        f"{RUNS}/test_failures.py::"
+        "test_an_endpoint_that_was_deaf_for_a_while_gets_work_again",
+    ),
     Break(
         "unresponsive endpoints keep their lease",
         f"{LEASED}/endpoint.py",
-        "            not self._may_have_unknown_runs\n"
-        "            and self._unanswered < MAX_UNANSWERED_RENEWALS\n",
-        "            not self._may_have_unknown_runs\n",
+        " = not self._may_have_unknown_runs and not self._is_unresponsive",
+        " = not self._may_have_unknown_runs",
         f"{RUNS}/test_failures.py::"
         "test_runs_of_an_unreachable_endpoint_are_placed_elsewhere_after_its_lease",
     ),
