Known red: two entries that claim a job at once while all streams are silent

Traced: both claims are lost with silent streams, and then _request_yield_of_earlier_owner compares ages that differ by less than the link's delay, so that neither yields.

--- a/tests/core/runs/test_two_entries_exploration.py
+++ b/tests/core/runs/test_two_entries_exploration.py
@@ -13,6 +13,14 @@
 SUBMISSION_GAPS_SECONDS = (0.0, 0.0005, 0.001, 0.003, 0.01, 0.07, 0.3, 0.8)
 """Possible intervals between the two submissions of a job."""
 
+REGRESSION_SEEDS = (
+    # Streams fall silent as two entries get a job 0.5 ms apart, so that the claims of
+    # both are lost. Each then hears of the other's claim, whose age is as old as its
+    # own within the link's delay, takes itself for the earlier one, and starts the job.
+    10028,
+)
+"""Seeds of the exploration with few entries that once failed, with their cause."""
+
 
 class DuplicateSubmissionExplorer(SilentStreamExplorer):
     """Adds duplicate submissions, at two entries or at one, to the random events."""
@@ -54,3 +62,8 @@
 ) -> None:
     """Guards against a task that runs at two endpoints under random faults."""
     explore(DuplicateSubmissionExplorer(seed, size=size))
+
+
+@pytest.mark.parametrize("seed", REGRESSION_SEEDS)
+def test_regression_seeds_of_jobs_that_come_to_two_entries(seed: int) -> None:
+    explore(DuplicateSubmissionExplorer(seed))
