Compare failure rates of endpoints over histories of one length

Cause: the rate of an endpoint with a short history was compared with its peers' rates over longer ones. When tasks begin to fail everywhere, 4 failures of 4 stand beside 4 of 17, and the endpoint is ejected, though its peers fail the same. Callers lose a healthy endpoint.

Change: a peer is measured over as many of its latest votes as the compared endpoint has.

Test: four endpoints, one with 0 to 10 successes before, its peers with 13, then all fail in turn. On it failed for 0 to 3 successes; now none does. An endpoint that fails from its start is still ejected after four failures (passes before and after).

--- a/src/godwitbank/_internal/core/ejection.py
+++ b/src/godwitbank/_internal/core/ejection.py
@@ -7,6 +7,7 @@
 
 from statistics import median
 
+from godwitbank._internal.core.failure_rate import WINDOW_SUBMISSIONS
 from godwitbank._internal.core.pool import AgentView, Pool
 
 MIN_FAILURE_RATE = 0.5
@@ -48,7 +49,8 @@
     ejected = sum(peer.ejected_until > 0 for peer in peers)
     if (ejected + 1) > max(MAX_EJECTED_SHARE * (len(peers) + 1), 1):
         return None
-    peer_rate = median(measure_failure_rate(peer, now) for peer in peers)
+    votes = view.failures.samples or WINDOW_SUBMISSIONS
+    peer_rate = median(_measure_peer_failure_rate(peer, votes, now) for peer in peers)
     if rate >= MIN_FAILURE_RATE and rate > PEER_RATE_FACTOR * peer_rate:
         return "failing"
     if slow:
@@ -63,6 +65,13 @@
     return max(view.failures.measure(now), view.reported_failure_rate)
 
 
+def _measure_peer_failure_rate(peer: AgentView, votes: int, now: float) -> float:
+    # Over its whole window a peer with a longer history than the compared agent still
+    # shows old successes when tasks have begun to fail everywhere.
+    observed = peer.failures.measure_latest(votes, now)
+    return max(observed, peer.reported_failure_rate)
+
+
 def eject(view: AgentView, now: float) -> None:
     """Eject an agent; the duration doubles with each ejection."""
     seconds = min(FIRST_EJECTION_SECONDS * 2**view.ejections, MAX_EJECTION_SECONDS)
--- a/src/godwitbank/_internal/core/failure_rate.py
+++ b/src/godwitbank/_internal/core/failure_rate.py
@@ -1,6 +1,7 @@
 """Failure rate of one endpoint over recent submissions."""
 
 from collections import OrderedDict
+from itertools import islice
 from typing import NamedTuple
 
 WINDOW_SUBMISSIONS = 20
@@ -64,6 +65,19 @@
             return 0.0
         return self._failed / len(self._votes)
 
+    def measure_latest(self, count: int, now: float) -> float:
+        """Return the failure rate of the latest votes, 0 to 1.
+
+        It is 0 while there are too few votes.
+
+        :param count: number of votes; ``MIN_SAMPLES`` votes count at least.
+        """
+        if self.measure(now) == 0.0:
+            return 0.0
+        newest_first = reversed(self._votes.values())
+        votes = list(islice(newest_first, max(count, MIN_SAMPLES)))
+        return sum(vote.failed for vote in votes) / len(votes)
+
     def clear(self) -> None:
         """Remove all votes."""
         self._votes.clear()
--- a/tests/core/test_ejection.py
+++ b/tests/core/test_ejection.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import pytest
+
 from godwitbank._internal.core import ejection
 from godwitbank._internal.core.pool import AgentView, Pool
 
@@ -75,3 +77,34 @@
             view.observe_run(rng.uniform(0.05, 1) * factor, 0.55)
     found = [ejection.find_reason(view, pool, 1.0) for view in pool.views]
     assert found == ["slow", None, None, None]
+
+
+@pytest.mark.parametrize("earlier", range(11))
+def test_an_agent_with_a_shorter_history_is_not_ejected_for_failures_everywhere(
+    earlier: int,
+) -> None:
+    """Peers' earlier successes don't make an agent an outlier when all tasks fail."""
+    pool = _make_pool(4)
+    newcomer, *peers = pool.views
+    for number in range(13):
+        for view in peers:
+            view.failures.add(f"a{number}", False, 1.0)
+    for number in range(earlier):
+        newcomer.failures.add(f"a{number}", False, 1.0)
+    for number in range(20):
+        for view in pool.views:
+            view.failures.add(f"b{number}", True, 2.0 + number)
+            assert ejection.find_reason(view, pool, 2.0 + number) is None
+
+
+def test_an_agent_that_fails_from_its_start_is_ejected_before_its_peers_answer() -> (
+    None
+):
+    pool = _make_pool(4)
+    newcomer, *peers = pool.views
+    for number in range(13):
+        for view in peers:
+            view.failures.add(f"a{number}", False, 1.0)
+    for number in range(4):
+        newcomer.failures.add(f"b{number}", True, 2.0)
+    assert ejection.find_reason(newcomer, pool, 2.0) == "failing"
