Announce no grants of jobs that were given up

Callers saw: one job at two entries that were cut off from each other, which meet again within a few tenths of a second: both callers are told 504 (may have run), none is served.

Cause: agents leave the job to one of the two entries. The other one gives it up, but its release waits for the next heartbeat; on the new stream between them it still announces the grant that it gave itself as the job's home. The first one takes that for a later owner and gives the job up as well. Evidence: logs of a scripted cell: Took with its sender as owner at 102.054, job_ended submitted_elsewhere at 102.055, Release at 102.204.

Change: what was released is announced before the grants are.

Test: 46 of 48 cells failed on, none now.

--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -251,6 +251,9 @@
         self._announcements.announce_unreachable_owners(
             link.stream, self._ownership, self._now
         )
+        # Grants of jobs that were given up must not be announced: the peer would give
+        # up its own runs of them.
+        self.homes.announce_released()
         granted = self.homes.grants.list_by_owner()
         self._announcements.announce_grants(link.stream, granted, self._now)
 
--- a/tests/core/runs/test_two_entries.py
+++ b/tests/core/runs/test_two_entries.py
@@ -208,6 +208,23 @@
     check_duplicate_jobs(world, gap, 0.02)
 
 
+@pytest.mark.parametrize("gap", [0.0, 0.0005, 0.01])
+@pytest.mark.parametrize("met_after", [step * 0.04 for step in range(8)])
+@pytest.mark.parametrize("cut_before", [0.75, 2.0])
+def test_a_job_at_two_cut_off_entries_that_meet_soon_after_is_completed(
+    cut_before: float, met_after: float, gap: float
+) -> None:
+    """Guards against two entries that both give up a job that agents left to one."""
+    world = make_world(entries=2, agents=4)
+    world.cut_link("entry-0", "entry-1")
+    world.run(cut_before)
+    submit_twice(world, "entry-1", "entry-0", gap)
+    world.run(met_after)
+    world.restore_links()
+    world.run(8.0)
+    assert "completed" in world.list_ends("j1")
+
+
 def test_a_home_that_has_just_joined_asks_the_previous_home() -> None:
     """Guards against a new entry that grants a job which is running already."""
     world = make_world(entries=3, agents=4)
