Hold a claimed job while no agent can be asked about it

Callers saw: one task at two endpoints. All open connections fall silent for good while agents are busy; new ones work. A job is submitted at one entry, and up to 1.3 s later at another one, which has just lost the first.

Cause: the second entry would claim the job at the agents, but has lost all of them in the same moment. With nobody to ask it started the job at once: nobody to ask was taken for nobody has it. The agents came back 0.05 s later to both entries, which each gave them the job.

Change: without agents the job waits as long as any claimed job does; if none comes back, it is then refused as before.

--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -436,9 +436,6 @@
         """
         name = job.spec.job
         views = self._dispatcher.fleet.views
-        if not views:
-            self._dispatch(job)
-            return
         start_at = self._now + CLAIM_TIMEOUT_SECONDS
         if self.homes.may_be_lost(name):
             start_at = max(start_at, self._ownership.get_last_expiry())
--- a/tests/core/runs/test_two_entries.py
+++ b/tests/core/runs/test_two_entries.py
@@ -225,6 +225,29 @@
     assert "completed" in world.list_ends("j1")
 
 
+@pytest.mark.parametrize("gap", [0.0005, 0.01, 0.3, 1.3])
+@pytest.mark.parametrize("silent_before", [step * 0.1 for step in range(12)])
+@pytest.mark.parametrize("entries", [2])
+def test_a_job_at_two_entries_while_all_streams_are_silent_is_run_once(
+    entries: int, silent_before: float, gap: float
+) -> None:
+    """Guards against a task at two endpoints as an entry has no agent to ask."""
+    world = make_world(entries=entries, agents=4)
+    # Agents that run something soon notice that their streams are silent.
+    for number in range(entries):
+        busy = make_job(f"busy-{number}", width=8, seconds=RUN_SECONDS, cpu=1000)
+        world.submit(f"entry-{number}", busy)
+    world.run(0.1)
+    world.blackhole_streams()
+    world.run(silent_before)
+    job = make_job("j1", width=8, seconds=RUN_SECONDS, cpu=1000)
+    world.submit("entry-1", job)
+    world.run(gap)
+    world.submit("entry-0", job)
+    world.run(8.0)
+    assert "completed" in world.list_ends("j1")
+
+
 def test_a_home_that_has_just_joined_asks_the_previous_home() -> None:
     """Guards against a new entry that grants a job which is running already."""
     world = make_world(entries=3, agents=4)
