Claim a held job at agents that connect later, too

Cause: a claim was sent once, on the streams of that moment. If a stream turned out to be silent and the agent came back on a new one, nobody claimed the job there again, and the agent took runs of either entry. Class: state that is told once, on a path whose loss is repaired without telling it again (docs/incidents/a-version-told-once.md).

Change: an entry claims its held jobs at each agent that connects. The agents then decide between the two entries, as they do when the claims arrive.

--- a/src/godwitbank/_internal/core/runs/entry.py
+++ b/src/godwitbank/_internal/core/runs/entry.py
@@ -352,6 +352,7 @@
         view.evacuated = self.evacuations.covers(view.zone)
         self.settings.send_evacuation(link.stream)
         self._send(link.stream, Peers(self.links.addresses.list_known(), []))
+        self.handover.handle_agent_connected(link.stream)
 
     def _handle_stream_closed(self, event: StreamClosed) -> None:
         link = self.links.remove_stream(event.stream, event.address, self._now)
--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -447,6 +447,13 @@
         for stream in views:
             self._send(stream, Claim(name))
 
+    def handle_agent_connected(self, stream: int) -> None:
+        """Claim the held jobs at an agent, too, that connects on a new stream."""
+        for name, delayed in self._held.delayed.items():
+            if delayed.claim_sent and not delayed.abandoned:
+                delayed.unanswered_streams.add(stream)
+                self._send(stream, Claim(name))
+
     def handle_claimed(self, view: AgentView, message: Claimed) -> None:
         """Process an agent's answer to the claim of a job."""
         delayed = self._held.delayed.get(message.job)
--- a/tests/core/runs/test_two_entries.py
+++ b/tests/core/runs/test_two_entries.py
@@ -227,11 +227,11 @@
 
 @pytest.mark.parametrize("gap", [0.0005, 0.01, 0.3, 1.3])
 @pytest.mark.parametrize("silent_before", [step * 0.1 for step in range(12)])
-@pytest.mark.parametrize("entries", [2])
+@pytest.mark.parametrize("entries", [2, 3])
 def test_a_job_at_two_entries_while_all_streams_are_silent_is_run_once(
     entries: int, silent_before: float, gap: float
 ) -> None:
-    """Guards against a task at two endpoints as an entry has no agent to ask."""
+    """Guards against a task at two endpoints as agents don't get an entry's claim."""
     world = make_world(entries=entries, agents=4)
     # Agents that run something soon notice that their streams are silent.
     for number in range(entries):
