Split the claims at the agents from the handover

Sending claims and judging agents' answers are in agent_claims.py; the handover keeps what follows from them.

--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -12,6 +12,7 @@
 
 from godwitbank._internal.core.counters import Counts
 from godwitbank._internal.core.events import Send
+from godwitbank._internal.core.runs.agent_claims import AgentClaims, ClaimState
 from godwitbank._internal.core.runs.delays import DelayedJob, YieldWaiters
 from godwitbank._internal.core.runs.dispatcher import Dispatcher
 from godwitbank._internal.core.runs.events import LogDecision, RunAction
@@ -21,7 +22,6 @@
 from godwitbank._internal.core.runs.jobs import Job
 from godwitbank._internal.core.runs.links import BUSY_TIMEOUT_SECONDS, Link, Links
 from godwitbank._internal.core.runs.ownership import (
-    CLAIM_TIMEOUT_SECONDS,
     YIELD_TIMEOUT_SECONDS,
     JobOwnership,
     Ownership,
@@ -36,7 +36,6 @@
 from godwitbank._internal.models.run_messages import (
     Acquire,
     Acquired,
-    Claim,
     Claimed,
     Release,
     Took,
@@ -87,6 +86,9 @@
         """Returns whether a job that this entry may start was forwarded elsewhere."""
         self._readiness = Readiness(links, self._ownership, self.reachability, now)
         self._announcements = OwnershipAnnouncements(links)
+        self._claims = AgentClaims(
+            dispatcher.fleet, self._held, self.homes, self._ownership, self._readiness
+        )
         self._yields = YieldWaiters()
         self._now = now
         self._emit: Callable[[RunAction], None] = lambda action: None
@@ -103,6 +105,7 @@
         self.homes.begin_event(now, emit)
         self._announcements.begin_event(emit)
         self._readiness.begin_event(now)
+        self._claims.begin_event(now, emit)
         self._yields.begin_event(emit)
 
     def _log_decision(self, event: str, request: str, **fields: object) -> None:
@@ -431,53 +434,28 @@
         """Ask the agents to stop all runs of a job that other entries ordered.
 
         An unreachable entry may own the job. Without the claim, a task would run twice
-        after the job's caller went from that entry to this one. An agent that doesn't
-        answer may run the job until the leases of the lost entry's runs expire.
+        after the job's caller went from that entry to this one.
         """
         name = job.spec.job
-        views = self._dispatcher.fleet.views
-        start_at = self._now + CLAIM_TIMEOUT_SECONDS
-        if self.homes.may_be_lost(name):
-            start_at = max(start_at, self._ownership.get_last_expiry())
-        delayed = DelayedJob(job, self._now, start_at)
-        delayed.record_claim(views)
-        self._held.delayed[name] = delayed
-        self._log_delay(name, "claimed", start_at)
+        delayed = self._claims.hold(job)
+        self._log_delay(name, "claimed", delayed.start_at)
         self._announcements.announce(name, self._now)
-        for stream in views:
-            self._send(stream, Claim(name))
+        self._claims.send(name)
 
     def handle_agent_connected(self, stream: int) -> None:
         """Claim the held jobs at an agent, too, that connects on a new stream."""
-        for name, delayed in self._held.delayed.items():
-            if delayed.claim_sent and not delayed.abandoned:
-                delayed.unanswered_streams.add(stream)
-                self._send(stream, Claim(name))
+        self._claims.send_all(stream)
 
     def handle_claimed(self, view: AgentView, message: Claimed) -> None:
         """Process an agent's answer to the claim of a job."""
-        delayed = self._held.delayed.get(message.job)
-        if delayed is None or not delayed.claim_sent:
-            return
-        if message.claim_lost:
-            del self._held.delayed[message.job]
+        state = self._claims.record_answer(view, message)
+        if state is ClaimState.LOST:
+            delayed = self._held.delayed.pop(message.job)
             self._release(message.job)
             if not delayed.abandoned:
                 self._give_up_possibly_run(delayed.job, "claimed_elsewhere")
-            return
-        if (
-            delayed.handle_claimed(view.stream, message.all_ended)
-            and self._all_agents_known
-        ):
-            self._start_now(delayed)
-
-    @property
-    def _all_agents_known(self) -> bool:
-        """Whether every agent that may run a job is known and can be asked."""
-        recently_active = self._readiness.is_recently_active
-        return not recently_active and not self._dispatcher.fleet.has_lost_agents(
-            self._now
-        )
+        elif state is ClaimState.GRANTED:
+            self._start_now(self._held.delayed[message.job])
 
     def _dispatch(self, job: Job) -> None:
         name = job.spec.job
@@ -545,7 +523,7 @@
             if delayed.start_at > self._now:
                 continue
             if delayed.claim_sent:
-                if self._is_claim_complete(delayed):
+                if self._claims.may_start(delayed):
                     self._start_now(delayed)
                 continue
             owner = self._ownership.find_owner(name)
@@ -565,13 +543,6 @@
             self._ownership.forget(name)
             self._resubmit(delayed)
 
-    def _is_claim_complete(self, delayed: DelayedJob) -> bool:
-        views = self._dispatcher.fleet.views
-        links = {stream: view.link for stream, view in views.items()}
-        return delayed.may_start(
-            links, self._now, not self._ownership.all_losses_confirmed
-        )
-
     def handle_yield(self, link: Link, message: Yield) -> None:
         """Stop a job whose caller came to another entry, or relay that to its owner."""
         if message.owner not in ("", self._links.own_incarnation):
