Start a held job when its owner passes it on to this entry

Callers saw: one job at two entries, both answered 504 at their deadline, while both entries used a whole processor.

Cause: the job's home is late and passes the job on, with the right to start it, to the entry at which the same job has just been submitted, and which has asked the home for it. The forwarded job joined the waiting one, and the right was dropped; the home answered that it has the job itself; the other entry joined there, was told that nothing is there (Yielded), asked the home again, and so on: 42,000 log lines in 10 s.

Change: whoever gets the right with a forwarded job starts the job that waits here, whether it waits for its home, for the entry that passes it on, or for an earlier submission.

--- a/src/godwitbank/_internal/core/runs/forwarding.py
+++ b/src/godwitbank/_internal/core/runs/forwarding.py
@@ -281,12 +281,22 @@
         fields: dict[str, object] = {"entry": link.hello.process, "reason": "joined"}
         self._emit(LogDecision("job_forwarded", name, fields))
 
+    def pop_joined(self, job: str, stream: int) -> Job | None:
+        """Remove a job whose callers wait at another entry, and return it.
+
+        :param stream: stream to that entry.
+        """
+        forwarded = self._forwarded.get(job)
+        if forwarded is None or not forwarded.joined or forwarded.stream != stream:
+            return None
+        del self._forwarded[job]
+        return forwarded.joined
+
     def handle_yielded(self, stream: int, job: str) -> None:
         """Submit a job here after another entry answered that it doesn't have it."""
-        forwarded = self._forwarded.get(job)
-        if forwarded is not None and forwarded.joined and forwarded.stream == stream:
-            del self._forwarded[job]
-            self.resubmit(forwarded.joined)
+        joined = self.pop_joined(job, stream)
+        if joined is not None:
+            self.resubmit(joined)
 
     def handle_result(self, link: Link, message: Forwarded) -> None:
         """Answer the callers of a job with the result from another entry."""
--- a/src/godwitbank/_internal/core/runs/handover.py
+++ b/src/godwitbank/_internal/core/runs/handover.py
@@ -271,11 +271,22 @@
         owner = self._ownership.find_owner(name)
         if self._is_stopping(name):
             self._held.undecided[name] = job
+        elif job.acquired:
+            self.start(job)
         elif owner not in ("", self._links.own_incarnation):
             self._contact_owner(job, owner)
         else:
             self._acquire(job)
 
+    def record_acquired(self, name: str) -> None:
+        """Start a held job, as its owner has passed on the right to start it."""
+        job = self._held.find(name)
+        if job is None:
+            return
+        job.acquired = True
+        if self._held.requests.pop(name, None) is not None:
+            self.submit(job)
+
     def _is_stopping(self, name: str) -> bool:
         """Return whether an earlier submission of a job is still being stopped here."""
         return name in self._dispatcher.jobs or name in self._held.delayed
--- a/src/godwitbank/_internal/core/runs/intake.py
+++ b/src/godwitbank/_internal/core/runs/intake.py
@@ -143,9 +143,22 @@
 
     def handle_forward(self, link: Link, message: Forward) -> None:
         """Handle a job that another entry forwarded."""
-        self.submit(
-            self._remote_callers.accept_forward(link.stream, message), message.acquired
-        )
+        event = self._remote_callers.accept_forward(link.stream, message)
+        self.submit(event, message.acquired)
+        if message.acquired:
+            self._start_held(link, message.job)
+
+    def _start_held(self, link: Link, name: str) -> None:
+        """Start a job that waited here for the entry that has just passed it on.
+
+        Otherwise each of the two entries would wait for the other one to start it.
+        """
+        joined = self._forwarding.pop_joined(name, link.stream)
+        if joined is not None:
+            joined.acquired = True
+            self._handover.submit(joined)
+        else:
+            self._handover.record_acquired(name)
 
     def handle_join(self, link: Link, message: Join) -> None:
         """Attach a caller of another entry to a job, if the job is here."""
--- a/src/godwitbank/_internal/core/runs/jobs.py
+++ b/src/godwitbank/_internal/core/runs/jobs.py
@@ -101,6 +101,8 @@
     :ivar ending: whether its result is out; runs of it may still be alive.
     :ivar contested: whether agents must first be asked to stop other entries' runs of
         it.
+    :ivar acquired: whether the entry that had the right to start it has passed it on
+        to this one.
     :ivar ended: whether its result is out and no run of it can be alive.
     """
 
@@ -117,6 +119,7 @@
         "ran",
         "ending",
         "contested",
+        "acquired",
         "ended",
     )
 
@@ -140,6 +143,7 @@
         self.ran = False
         self.ending = False
         self.contested = False
+        self.acquired = False
         self.ended = False
 
     def create_tasks(self, expected: list[float]) -> None:
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -294,6 +294,14 @@
         f"{RUNS}/test_two_entries.py::"
         "test_a_job_at_two_entries_is_run_once_and_answered_to_both",
     ),
+    Break(
+        "jobs that were passed on still wait for the entry that did so",
+        f"{LEASED}/intake.py",
+        "            self._start_held(link, message.job)\n",
+        "            pass\n",
+        f"{RUNS}/test_forwarding.py::"
+        "test_job_forwarded_to_an_entry_that_requests_it_is_started_there",
+    ),
     Break(
         "claimed jobs start at once without agents to ask",
         f"{LEASED}/handover.py",
--- a/tests/core/runs/test_forwarding.py
+++ b/tests/core/runs/test_forwarding.py
@@ -1,5 +1,7 @@
 """Jobs that an overloaded entry forwards to another entry."""
 
+import pytest
+
 from godwitbank._internal.core.runs.events import (
     ConfigurationRead,
     JobCancelled,
@@ -51,6 +53,23 @@
     assert world.list_ends("j1") == ["completed"]
 
 
+@pytest.mark.parametrize("first", ENTRIES)
+@pytest.mark.parametrize("gap", [0.0, 0.0002, 0.0005, 0.001, 0.0015, 0.002, 0.005])
+@pytest.mark.parametrize("job", ["j1", "j2", "j3", "j4"])
+@pytest.mark.parametrize("entries", [2, 3])
+def test_job_forwarded_to_an_entry_that_requests_it_is_started_there(
+    entries: int, job: str, gap: float, first: str
+) -> None:
+    """Guards against two entries that each wait for the other one to start a job."""
+    world = make_lagging_world(entries)
+    spec = make_job(job, width=2, seconds=0.2)
+    world.submit(first, spec)
+    world.run(gap)
+    world.submit("entry-1" if first == "entry-0" else "entry-0", spec)
+    world.run(1.0)
+    assert world.list_ends(job) == ["completed", "completed"]
+
+
 def test_job_is_not_forwarded_twice() -> None:
     world = make_lagging_world()
     for _ in range(8):
