Keep the number of a release that is still unannounced

Callers saw: a caller hangs up within the round trip to its job's home, another one submits the job at another entry and waits 0.7 s longer than needed, while both entries use a whole processor.

Cause: the first entry releases the job, with the number of its request, at its next heartbeat. Before that the home sends the second caller there; the entry says that it has nothing (Yielded) and releases the job again, now without a number, which overwrote the first. The home ignores a release without a number until the grant is 0.7 s old, and sends the caller there again, every 2 ms.

Change: a later release keeps the number of the one that is still unannounced.

--- a/src/godwitbank/_internal/core/runs/homes.py
+++ b/src/godwitbank/_internal/core/runs/homes.py
@@ -222,7 +222,10 @@
 
     def release(self, job: str) -> None:
         """Record that no run of a job is left here, for the next announcement."""
-        self._released[job] = self._request_numbers.pop(job, 0)
+        # Without its number, an earlier release that is still unannounced leaves the
+        # grant at the home.
+        unannounced = self._released.get(job, 0)
+        self._released[job] = self._request_numbers.pop(job, unannounced)
 
     def announce_released(self) -> None:
         """Announce to their homes the jobs released since the last announcement."""
--- a/tests/broken_rules.py
+++ b/tests/broken_rules.py
@@ -302,6 +302,14 @@
         f"{RUNS}/test_forwarding.py::"
         "test_job_forwarded_to_an_entry_that_requests_it_is_started_there",
     ),
+    Break(
+        "a second release forgets the number of the first",
+        f"{LEASED}/homes.py",
+        "self._request_numbers.pop(job, unannounced)",
+        "self._request_numbers.pop(job, 0)",
+        f"{RUNS}/test_two_entries.py::"
+        "test_a_job_whose_first_caller_hangs_up_before_the_grant_is_answered_soon",
+    ),
     Break(
         "claimed jobs start at once without agents to ask",
         f"{LEASED}/handover.py",
--- a/tests/core/runs/test_two_entries.py
+++ b/tests/core/runs/test_two_entries.py
@@ -248,6 +248,25 @@
     assert "completed" in world.list_ends("j1")
 
 
+@pytest.mark.parametrize("job", ["j1", "j2", "j3", "j4"])
+@pytest.mark.parametrize("hangs_up_after", [0.0, 0.0005, 0.001, 0.0015])
+def test_a_job_whose_first_caller_hangs_up_before_the_grant_is_answered_soon(
+    hangs_up_after: float, job: str
+) -> None:
+    """Guards against a grant that stays though its entry has released the job."""
+    world = make_world(entries=2, agents=4)
+    spec = make_job(job, seconds=0.2)
+    for first, second in (("entry-0", "entry-1"), ("entry-1", "entry-0")):
+        caller = world.submit(first, spec)
+        world.run(hangs_up_after)
+        world.disconnect_caller(first, caller)
+        world.submit(second, spec)
+        world.run(0.4)
+        # Runs that the first caller's hanging up ended may have been the second one's.
+        assert world.list_ends(job)
+        world.results.clear()
+
+
 def test_a_home_that_has_just_joined_asks_the_previous_home() -> None:
     """Guards against a new entry that grants a job which is running already."""
     world = make_world(entries=3, agents=4)
