Known red: an owner that only a third entry reaches isn't asked through it

Traced and scripted: an entry that has lost all its peers at once asks nobody whether they reach the owner of a job, and doesn't ask later. 3 of 3 cells fail.

--- a/tests/core/runs/test_two_entries.py
+++ b/tests/core/runs/test_two_entries.py
@@ -267,6 +267,28 @@
         world.results.clear()
 
 
+@pytest.mark.parametrize("silent_before", [0.0, 0.6, 1.2])
+def test_an_owner_that_only_a_third_entry_reaches_is_asked_through_it(
+    silent_before: float,
+) -> None:
+    """Guards against a task at two endpoints as nobody could be asked for its owner."""
+    world = make_world(entries=3, agents=4)
+    for number in range(3):
+        busy = make_job(f"busy-{number}", width=8, seconds=RUN_SECONDS, cpu=1000)
+        world.submit(f"entry-{number}", busy)
+    world.run(0.1)
+    world.cut_link("entry-0", "entry-2")
+    world.cut_link("entry-2", "agent-0")
+    world.blackhole_streams()
+    world.run(silent_before)
+    job = make_job("j1", width=8, seconds=RUN_SECONDS, cpu=1000)
+    world.submit("entry-0", job)
+    world.run(0.8)
+    world.submit("entry-2", job)
+    world.run(6.0)
+    assert "completed" in world.list_ends("j1")
+
+
 def test_a_home_that_has_just_joined_asks_the_previous_home() -> None:
     """Guards against a new entry that grants a job which is running already."""
     world = make_world(entries=3, agents=4)
