Show that a cancelled job goes on if its caller has moved

A DELETE that reaches another entry than the one that runs the job is answered with 410, and the job's tasks run to their end. Seen: a task of 9 s ended 5.0 s later than cancel_ms and stop-grace-ms allow; with TROUBLE=0 all tasks stopped within 60 ms.

--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review; they are not part of the test run."""
--- /dev/null
+++ b/review/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the scripts of the review share."""
--- /dev/null
+++ b/review/lib/callers.py
@@ -0,0 +1,91 @@
+"""Callers that submit jobs and cancel them, each call on a connection of its own."""
+
+import json
+import threading
+import time
+from typing import NamedTuple
+
+import httpx
+
+from review.lib.deployment import Deployment
+
+
+class Answer(NamedTuple):
+    """The answer to a call.
+
+    :param at: time of its arrival on the monotonic clock, in seconds.
+    :param status: status of the response; 0 if none came.
+    """
+
+    at: float
+    status: int
+    text: str
+
+
+def call(
+    fleet: Deployment,
+    method: str,
+    entry: str,
+    path: str,
+    content: str = "",
+    deadline_ms: int = 10_000,
+) -> Answer:
+    """Send a request to an entry on a new connection, and wait for the answer."""
+    url = f"http://{fleet.find_ip(entry)}:{fleet.front}{path}"
+    headers = {
+        "Host": "desk.example",
+        "Deadline-Ms": str(deadline_ms),
+        "Content-Type": "application/json",
+    }
+    try:
+        response = httpx.request(
+            method,
+            url,
+            content=content,
+            headers=headers,
+            timeout=deadline_ms / 1000 + 2,
+            trust_env=False,
+        )
+    except httpx.HTTPError as error:
+        return Answer(time.monotonic(), 0, type(error).__name__)
+    return Answer(time.monotonic(), response.status_code, response.text)
+
+
+def make_job(width: int, seconds: float, cpu: int = 1000) -> str:
+    """Make the body of a best-effort job with one step.
+
+    :param width: number of tasks.
+    :param seconds: run time of each task.
+    :param cpu: need of each task, in thousandths of a core.
+    """
+    step = {
+        "count": width,
+        "cpu": cpu,
+        "mem-mb": 64,
+        "estimate-ms": int(seconds * 1000),
+    }
+    return json.dumps({"spec": str(seconds), "steps": [step], "best-effort": True})
+
+
+class Submission(threading.Thread):
+    """A caller that submits a job and waits for its result.
+
+    :ivar sent_at: time of the request on the monotonic clock, in seconds.
+    :ivar answer: the answer, once it has come.
+    """
+
+    def __init__(self, fleet: Deployment, entry: str, job: str, body: str) -> None:
+        super().__init__(daemon=True)
+        self.entry = entry
+        self.job = job
+        self.sent_at = 0.0
+        self.answer: Answer | None = None
+        self._fleet = fleet
+        self._body = body
+
+    def run(self) -> None:
+        """Submit the job and wait."""
+        self.sent_at = time.monotonic()
+        self.answer = call(
+            self._fleet, "POST", self.entry, f"/checks/{self.job}", self._body
+        )
