--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -8,7 +8,10 @@
 import os
 import shlex
 import subprocess
+import tempfile
+import time
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -106,3 +109,33 @@
         for at, fields in self._lines:
             text += json.dumps({"s": round(at - self._origin, 3), **fields}) + "\n"
         self._path.write_text(text)
+
+
+def run_case(
+    folder: Path,
+    start: Callable[[Deployment], None],
+    play: Callable[[Deployment, Record, bool], bool],
+) -> int:
+    """Run a case in a new deployment, and return the exit status of its script.
+
+    :param folder: folder of the case, which gets ``record.txt``.
+    :param start: starts the processes.
+    :param play: plays the case with or without the disruption, and returns whether the
+        rule was kept.
+    """
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(folder / "record.txt", time.monotonic())
+    with tempfile.TemporaryDirectory() as temporary:
+        fleet = None
+        try:
+            fleet = Deployment(Path(temporary))
+            start(fleet)
+            kept = play(fleet, record, trouble)
+        except Exception as error:  # noqa: BLE001
+            record.add(time.monotonic(), "could not run", error=repr(error))
+            return 2
+        finally:
+            if fleet is not None:
+                fleet.stop()
+            record.write()
+    return 0 if kept else 1
