--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-from review.lib.callers import Answer, Submission, call, make_job
+from review.lib.callers import Answer, Submission, call, make_job, wait_until_begun
 from review.lib.cancelling import judge_cancels
 from review.lib.deployment import Deployment, Record, run_case
 
@@ -38,6 +38,7 @@
     submissions = [Submission(fleet, "entry-0", job, body) for job in jobs]
     for submission in submissions:
         submission.start()
+    wait_until_begun(fleet, AGENTS, jobs)
     time.sleep(CANCEL_AFTER_SECONDS)
     cancels: dict[str, tuple[float, Answer]] = {}
     for job in jobs:
--- a/review/lib/callers.py
+++ b/review/lib/callers.py
@@ -6,9 +6,12 @@
 from typing import NamedTuple
 
 import httpx
+from standins.fleet import wait_for
 
 from review.lib.deployment import Deployment
 
+BEGIN_TIMEOUT_SECONDS = 5.0
+
 
 class Answer(NamedTuple):
     """The answer to a call.
@@ -67,6 +70,16 @@
     return json.dumps({"spec": str(seconds), "steps": [step], "best-effort": True})
 
 
+def wait_until_begun(fleet: Deployment, agents: list[str], jobs: list[str]) -> None:
+    """Wait until a task of each job has begun at an endpoint."""
+
+    def have_begun() -> bool:
+        begun = {run["task"].partition(".")[0] for run in fleet.read_runs(agents)}
+        return begun >= set(jobs)
+
+    wait_for(have_begun, "the start of all jobs", BEGIN_TIMEOUT_SECONDS)
+
+
 class Submission(threading.Thread):
     """A caller that submits a job and waits for its result.
 
