--- a/review/lib/callers.py
+++ b/review/lib/callers.py
@@ -32,9 +32,13 @@
     path: str,
     content: str = "",
     deadline_ms: int = 10_000,
+    host: str = "",
 ) -> Answer:
-    """Send a request to an entry on a new connection, and wait for the answer."""
-    url = f"http://{fleet.find_ip(entry)}:{fleet.front}{path}"
+    """Send a request to an entry on a new connection, and wait for the answer.
+
+    :param host: address to connect to; by default that of the entry.
+    """
+    url = f"http://{host or fleet.find_ip(entry)}:{fleet.front}{path}"
     headers = {
         "Host": "desk.example",
         "Deadline-Ms": str(deadline_ms),
@@ -93,12 +97,21 @@
         self.job = job
         self.sent_at = 0.0
         self.answer: Answer | None = None
-        self._fleet = fleet
+        self.fleet = fleet
         self._body = body
 
     def run(self) -> None:
         """Submit the job and wait."""
         self.sent_at = time.monotonic()
         self.answer = call(
-            self._fleet, "POST", self.entry, f"/checks/{self.job}", self._body
+            self.fleet,
+            "POST",
+            self.entry,
+            f"/checks/{self.job}",
+            self._body,
+            host=self.find_host(),
         )
+
+    def find_host(self) -> str:
+        """Find the address to connect to."""
+        return self.fleet.find_ip(self.entry)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -62,7 +62,7 @@
         }
         if settings:
             role = "agent" if "class=side" in settings else "entry"
-            command = read_command(role)
+            command = read_command(role) + self.list_flags(name)
             path = self.folder / f"{name}.conf"
             bounds = [f"{field}={value}" for field, value in BOUNDS.items()]
             path.write_text(settings + "\n".join(bounds) + "\n")
@@ -72,6 +72,11 @@
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
+    def list_flags(self, name: str) -> list[str]:
+        """List flags to add to the command of a process; none by default."""
+        del name
+        return []
+
     def read_runs(self, agents: list[str]) -> list[dict[str, Any]]:
         """Read all starts and ends of runs, in the order of time.
 
@@ -113,8 +118,9 @@
 
 def run_case(
     folder: Path,
-    start: Callable[[Deployment], None],
-    play: Callable[[Deployment, Record, bool], bool],
+    start: Callable[[Any], None],
+    play: Callable[[Any, Record, bool], bool],
+    make: Callable[[Path], Any] = Deployment,
 ) -> int:
     """Run a case in a new deployment, and return the exit status of its script.
 
@@ -122,13 +128,14 @@
     :param start: starts the processes.
     :param play: plays the case with or without the disruption, and returns whether the
         rule was kept.
+    :param make: makes the deployment from its temporary folder.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt", time.monotonic())
     with tempfile.TemporaryDirectory() as temporary:
         fleet = None
         try:
-            fleet = Deployment(Path(temporary))
+            fleet = make(Path(temporary))
             start(fleet)
             kept = play(fleet, record, trouble)
         except Exception as error:  # noqa: BLE001
