--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 from review.lib.deployment import Deployment, Record, run_case
 from standins.fleet import wait_for
 
-FOLDER = Path(__file__).parent
+RECORD_PATH = Path(__file__).parent / "record.txt"
 AGENTS = [f"agent-{number}" for number in range(6)]
 HARMED = "agent-0"
 """The one whose endpoint shrinks and that is killed: one of six agents. The share of
@@ -134,4 +134,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, start, play))
+    sys.exit(run_case(RECORD_PATH, start, play))
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -117,21 +117,21 @@
 
 
 def run_case(
-    folder: Path,
+    record_path: Path,
     start: Callable[[Any], None],
     play: Callable[[Any, Record, bool], bool],
     make: Callable[[Path], Any] = Deployment,
 ) -> int:
     """Run a case in a new deployment, and return the exit status of its script.
 
-    :param folder: folder of the case, which gets ``record.txt``.
+    :param record_path: file to which the record of the run is written.
     :param start: starts the processes.
     :param play: plays the case with or without the disruption, and returns whether the
         rule was kept.
     :param make: makes the deployment from its temporary folder.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt", time.monotonic())
+    record = Record(record_path, time.monotonic())
     with tempfile.TemporaryDirectory() as temporary:
         fleet = None
         try:
