--- /dev/null
+++ b/review/lib_2/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the second review's scripts."""
