--- a/review/lib_2/endpoint.py
+++ b/review/lib_2/endpoint.py
@@ -3,7 +3,6 @@
 Usage: ``python -m review.lib_2.endpoint SERVICE ADDRESS AGENT CORES ZONE``. While
 ``PUT /unanswered`` is in force, it leaves a random share of all calls of its agent
 without an answer, and carries them out 2 to 12 s later, as the platform's pages allow.
-``PUT /capacity`` sets the thousandths of a core that its reports give from then on.
 It gives no time of its start: a new boot has a new id.
 """
 
@@ -65,12 +64,6 @@
             await self._app(scope, receive, send)
             return
         path = scope["path"]
-        if path == "/capacity":
-            cpu = json.loads(await read_body(receive))["cpu"]
-            endpoint = self._daemon.endpoint
-            endpoint.capacity = endpoint.capacity._replace(cpu=cpu)
-            await respond(send)
-            return
         if path == "/unanswered":
             settings = json.loads(await read_body(receive))
             self._share = settings["share"]
--- a/review/lib_2/fleet.py
+++ b/review/lib_2/fleet.py
@@ -104,14 +104,6 @@
         body = json.dumps({"share": share, "seconds": seconds})
         self.client.put(url, content=body).raise_for_status()
 
-    def set_capacity(self, agent: str, cpu: int) -> None:
-        """Let an endpoint report another capacity from now on.
-
-        :param cpu: thousandths of a core.
-        """
-        url = f"http://{self.find_ip(agent)}:{self.app}/capacity"
-        self.client.put(url, content=json.dumps({"cpu": cpu})).raise_for_status()
-
     def list_runs(self, agents: int) -> list[Run]:
         """List all runs that the endpoints have started, the earliest first."""
         runs = []
