--- a/review/lib_2/cancelled_while_held.py
+++ b/review/lib_2/cancelled_while_held.py
@@ -1,9 +1,8 @@
-"""Case 7: a job that waits for permission to start starts after its cancelling."""
+"""Case 6: a job that waits for permission to start starts after its cancelling."""
 
 import signal
 import time
 
-from review.lib_2.cancelled import write_late_starts
 from review.lib_2.fleet import (
     Caller,
     Fleet,
@@ -13,6 +12,7 @@
     play,
     send,
 )
+from review.lib_2.late_starts import write_late_starts
 
 AGENTS = 3
 JOBS = 8
