--- a/review/lib_2/fleet.py
+++ b/review/lib_2/fleet.py
@@ -125,9 +125,9 @@
 class Record:
     """Writes ``record.txt``; times are in seconds since the record began."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self._began = time.monotonic()
-        self._file = (folder / "record.txt").open("w")
+        self._file = path.open("w")
         self._lock = threading.Lock()
 
     def write(self, text: str, at: float | None = None) -> None:
@@ -212,12 +212,13 @@
 
 
 def play(case: Callable[[Fleet, Record], bool]) -> None:
-    """Run a case in the folder given on the command line, and exit with its result.
+    """Run a case, and exit with its result.
+
+    The path of its record is given on the command line.
 
     :param case: returns whether the rule held.
     """
-    folder = Path(sys.argv[1])
-    record = Record(folder)
+    record = Record(Path(sys.argv[1]))
     with tempfile.TemporaryDirectory() as temporary:
         fleet = None
         try:
